--- /dev/null
+++ b/rainpick/__init__.py
@@ -0,0 +1,1 @@
+"""rainpick: a traffic director for a fleet of sidecar proxies."""
--- /dev/null
+++ b/rainpick/balance.py
@@ -0,0 +1,298 @@
+"""All decisions of a director: desired state per server, shared tables of listed weight x percentage.
+
+How it is called: make one ``Director`` per instance and hand ``step`` the clock and the events that came; it
+returns the orders to carry out. The first event is ``Started``. Events and orders are the types of
+``rainpick.interface``; settings are the plain map that ``Started`` brings. docs/design.md says what was kept
+of the design, what was changed, and when each exception acts.
+
+Beside the design stand these mechanisms (six at most):
+1. Paced channel: lines that wait and messages per proxy are accounted for; what is urgent goes first.
+2. Cold guard: the percentage of a server that started lately follows its listed start time.
+3. Ejection on evidence: a server far worse than the fleet is shut out, and comes back by the ramp.
+4. Retries by route: what a proxy may try again follows from the route's effect.
+"""
+
+from collections import deque
+from statistics import median
+from zlib import crc32
+
+from rainpick import interface as api
+from rainpick.interface import DRAINING, GONE, READY
+
+TICK_US = 2_000_000  # the design's tick
+BEAT_US = TICK_US // 8  # how often what was put off is looked at again
+FIRST_STEP, STEP = 0.25, 0.25  # back from a drain or an ejection: the first percentage, the points per tick
+RING = 4  # buckets of evidence, each as long as the reports' period
+EJECT_DROPS = 4  # fewer dropped calls than this prove nothing
+EJECT_SHARE = 0.3  # nor does a dropped share less than this above the fleet's
+EJECT_MOST = 0.34  # of the listed weight that is ready and warm: more is never shut out on evidence
+HOLD_TICKS = 2  # an ejection lasts this many ticks, twice as many after each relapse
+ROOM = 0.5  # binds and ramp steps leave this part of the channel's queue to withdrawals
+BURST = 0.25  # of the messages that a proxy may be written, this part may go out at once
+TABLE = 0
+
+
+class State:
+    """What the director holds of one server."""
+
+    def __init__(self, entry, width):
+        self.entry, self.state, self.shut, self.laid = entry, GONE, False, 0.0
+        self.back_us = None  # when it came back from a drain or an ejection
+        self.eject_until, self.relapses = 0, 0
+        self.ring, self.bucket = [[0, 0, 0] for _ in range(width)], 0
+
+    def note(self, bucket, tries, dropped, mean_us):
+        """Add to the bucket of now, emptying those that were skipped."""
+        for number in range(max(self.bucket + 1, bucket - len(self.ring) + 1), bucket + 1):
+            self.ring[number % len(self.ring)][:] = 0, 0, 0
+        self.bucket = max(bucket, self.bucket)
+        cell = self.ring[bucket % len(self.ring)]
+        cell[0] += tries
+        cell[1] += dropped
+        cell[2] += (tries - dropped) * mean_us
+
+    def evidence(self, bucket):
+        """Tries, dropped calls and microseconds of answered ones, of the buckets that are not too old."""
+        self.note(bucket, 0, 0, 0)
+        return [sum(column) for column in zip(*self.ring, strict=True)]
+
+
+class Proxy:
+    """What the director holds of one joined proxy."""
+
+    def __init__(self, event):
+        self.zone, self.rate, self.bound = event.zone, event.rate, False
+        self.unread = deque()  # (mark, lines) of messages not yet answered
+        self.tokens, self.filled_us = None, 0  # messages that it may be written, and when that was counted
+
+
+class Director:
+    """One instance. Nothing is shared with others."""
+
+    def step(self, now, events):
+        """Take what happened, return what to do."""
+        self.now, self.orders = now, []
+        for event in events:
+            self.HEAR[type(event)](self, event)
+        self.decide()
+        return self.orders
+
+    # What is heard
+
+    def started(self, event):
+        self.settings, self.seed, self.drawn = event.settings, event.seed, 0
+        self.servers, self.proxies, self.lines = {}, {}, {}
+        self.mark, self.next_tick, self.next_beat, self.judge_due = 0, self.now, self.now, False
+        self.period_us = self.get("proxies.report_every_us", TICK_US)
+        self.routes = range(self.get("routes.count", 0))
+        if self.get("discovery", "pushed") == "on_request":
+            self.orders.append(api.Subscribe(True))
+        for route in self.routes if not self.get("proxies.slices", 0) else ():
+            level = 1.0 if self.get("proxies.admit", "ratio") == "ratio" else 1e6
+            self.orders.append(api.Admit(TABLE, 1 << route, level, api.ON_PROOF))
+
+    def get(self, name, default):
+        return self.settings.get(name, default)
+
+    def listed(self, event):
+        if event.kind == api.FAILED:
+            self.orders.append(api.SetTimer(1, TICK_US))
+            return
+        for entry in event.servers:
+            held = self.servers.setdefault(entry.address, None)
+            if held is None:
+                held = self.servers[entry.address] = State(entry, RING)
+            if entry.state == READY and held.state == DRAINING and entry.started_us == held.entry.started_us:
+                held.back_us = self.now
+            if entry.started_us != held.entry.started_us:
+                held.eject_until = held.relapses = 0
+            held.entry, held.state = entry, entry.state
+        if event.kind != api.DELTA:
+            present = {entry.address for entry in event.servers}
+            for address, held in self.servers.items():
+                if address not in present:
+                    held.state = GONE
+
+    def timer(self, event):
+        if event.token == 1:
+            self.orders.append(api.Subscribe(True))
+
+    def joined(self, event):
+        self.proxies[event.proxy] = Proxy(event)
+
+    def left(self, event):
+        self.proxies.pop(event.proxy, None)
+
+    def applied(self, event):
+        proxy = self.proxies.get(event.proxy)
+        if proxy and any(mark == event.number for mark, _ in proxy.unread):
+            while proxy.unread.popleft()[0] != event.number:
+                pass
+
+    def met(self, event):
+        held = self.servers.get(event.server)
+        if held and not held.eject_until:
+            held.note(self.now // self.period_us, event.tries, event.dropped, event.mean_us)
+            self.judge_due = True
+
+    def slice_given(self, event):
+        if event.on:
+            self.lines[event.slice] = {}
+        else:
+            self.lines.pop(event.slice, None)
+
+    def slice_line(self, event):
+        if event.slice in self.lines:
+            self.lines[event.slice][event.server] = event.weight
+
+    def nothing(self, event):
+        pass
+
+    HEAR = {
+        api.Started: started, api.Listed: listed, api.TimerDue: timer, api.ProxyJoined: joined,
+        api.ProxyLeft: left, api.Applied: applied, api.ServerMet: met, api.ProxyMet: nothing,
+        api.SliceMet: nothing, api.ProbeEnded: nothing, api.PeerSaid: nothing, api.SliceGiven: slice_given,
+        api.SliceLine: slice_line,
+    }
+
+    # What is decided
+
+    def decide(self):
+        if self.judge_due:
+            self.judge()
+        if self.now >= self.next_beat:
+            self.next_beat = self.now + BEAT_US
+            self.orders.append(api.SetTimer(0, BEAT_US))
+        if self.get("proxies.slices", 0):
+            self.keep_slices()
+        else:
+            self.lay()
+
+    def warm(self, held):
+        return held.state == READY and self.now - held.entry.started_us >= self.get("rules.warm_after_us", 0)
+
+    def percentage(self, held):
+        """The design's ramp, and the cold guard: never more than a server just started surely can do."""
+        if held.state != READY or held.eject_until:
+            return 0.0
+        part = 1.0
+        if held.back_us is not None:
+            part = min(part, FIRST_STEP + STEP * ((self.now - held.back_us) // TICK_US))
+        started, warm_us = held.entry.started_us, self.get("rules.warm_after_us", 0)
+        if started and self.now - started < warm_us:
+            least = self.get("rules.start_capacity", FIRST_STEP)
+            part = min(part, least + (1 - least) * max(0, self.now - started) / warm_us)
+        return part
+
+    def judge(self):
+        """Shut out what is far worse than the fleet: a shared trouble moves the median and shuts out none."""
+        self.judge_due = False
+        bucket = self.now // self.period_us
+        ready = [held for held in self.servers.values() if self.warm(held)]
+        seen = {held: held.evidence(bucket) for held in ready if not held.eject_until}
+        usual = median([dropped / tries for tries, dropped, _ in seen.values() if tries] or [0.0])
+        limit = EJECT_MOST * sum(held.entry.weight for held in ready)
+        limit -= sum(held.entry.weight for held in ready if held.eject_until)
+        worst = sorted(seen, key=lambda held: -seen[held][1])
+        for held in worst:
+            tries, dropped, _ = seen[held]
+            if dropped < EJECT_DROPS or dropped / tries < usual + EJECT_SHARE or held.entry.weight > limit:
+                continue
+            limit -= held.entry.weight
+            held.eject_until = self.now + HOLD_TICKS * TICK_US * 2 ** min(held.relapses, 3)
+            held.relapses += 1
+
+    def waiting(self):
+        """Lines that may still wait in the channel: those of every message that no proxy has answered."""
+        return sum(lines for proxy in self.proxies.values() for _, lines in proxy.unread)
+
+    def tokens(self, proxy):
+        """Messages that may go to a proxy now: a small burst, then evenly, the cap in any span at most."""
+        most = self.get("proxies.pushes_allowed", 0) - 1
+        if most <= 0:
+            return 2.0
+        burst = max(1.0, BURST * most)
+        if proxy.tokens is None:
+            proxy.tokens = burst
+        rate = (most - burst) / self.get("proxies.counted_over_us", TICK_US)
+        proxy.tokens = min(burst, proxy.tokens + (self.now - proxy.filled_us) * rate)
+        proxy.filled_us = self.now
+        return proxy.tokens
+
+    def lay(self):
+        """Write what changed: withdrawals at once, ramp steps by the tick, binds as the queue allows."""
+        room = self.get("proxies.pending_max", 1e9) - self.waiting()
+        spare = room - (1 - ROOM) * self.get("proxies.pending_max", 1e9)
+        head = self.get("proxies.head", 0) + 1
+        most = min((self.tokens(proxy) for proxy in self.proxies.values()), default=2.0)
+        calm = spare > 0 and most >= 2
+        tick = calm and self.now >= self.next_tick
+        if tick:
+            self.next_tick = self.now + TICK_US
+        changes = []
+        for address, held in self.servers.items():
+            if tick and held.eject_until and self.now >= held.eject_until:
+                held.eject_until, held.back_us = 0, self.now
+                held.evidence(self.now // self.period_us + RING)
+            part = self.percentage(held)
+            if part <= 0:
+                if not held.shut and most >= 1:
+                    changes.append(api.Withdraw(address, True))
+                    held.shut = True
+                if held.state == GONE and held.laid and most >= 1:
+                    changes.append(api.SetLine(TABLE, address, 0.0))
+                    held.laid = 0.0
+            elif tick:
+                weight = held.entry.weight * part
+                if weight != held.laid:
+                    changes.append(api.SetLine(TABLE, address, weight))
+                    held.laid = weight
+                if held.shut:
+                    changes.append(api.Withdraw(address, False))
+                    held.shut = False
+        self.orders += changes
+        shutting = sum(1 for order in changes if type(order) is api.Withdraw)
+        cost = {number: (len(changes) if proxy.bound else shutting) + head
+                for number, proxy in self.proxies.items() if (changes if proxy.bound else shutting)}
+        spare -= sum(cost.values())
+        table = sum(1 for held in self.servers.values() if held.laid)
+        shut = sum(1 for held in self.servers.values() if held.shut)
+        for number, proxy in sorted(self.proxies.items(), key=lambda item: (-item[1].rate, item[0])):
+            lines = head + 1 + table + shut + len(self.routes)
+            if not proxy.bound and table and spare >= lines and self.tokens(proxy) >= 1:
+                self.orders.append(api.Bind(TABLE, api.ALL_ROUTES, number))
+                proxy.bound = True
+                cost[number] = cost.get(number, 0) + lines
+                spare -= lines
+        if cost:
+            self.mark = (self.mark + 1) % 65536
+            self.orders.append(api.Mark(self.mark, False))
+            for number, lines in cost.items():
+                proxy = self.proxies[number]
+                proxy.unread.append((self.mark, lines))
+                if proxy.tokens is not None:
+                    proxy.tokens -= 1
+
+    def keep_slices(self):
+        """Slices stay where they are; one that has lost its server goes to another, by weight and chance."""
+        usable = [(address, held) for address, held in self.servers.items() if self.percentage(held) > 0]
+        for address, held in self.servers.items():
+            shut = held.state != READY
+            if shut != held.shut:
+                self.orders.append(api.Withdraw(address, shut))
+                held.shut = shut
+        for number, lines in self.lines.items():
+            lost = [a for a in lines if a not in self.servers or self.servers[a].state != READY]
+            if usable and len(lost) == len(lines):
+                heir = max(usable, key=lambda item: self.score(number, item))[0]
+                self.orders.append(api.SetLine(number, heir, 1.0))
+                lines[heir] = 1.0
+                for address in lost:
+                    if not self.get("proxies.one_owner", False):
+                        self.orders.append(api.SetLine(number, address, 0.0))
+                    del lines[address]
+
+    def score(self, number, item):
+        address, held = item
+        draw = crc32(b"%d %d %s" % (self.seed, number, repr(address).encode())) + 1
+        return held.entry.weight * self.percentage(held) * draw
--- /dev/null
+++ b/rainpick/simhost/__init__.py
@@ -0,0 +1,1 @@
+"""The simulator's adapter."""
--- /dev/null
+++ b/rainpick/simhost/wire.py
@@ -0,0 +1,235 @@
+"""The simulator's wire: frames, records and words, turned into the project's events and orders and back."""
+
+import struct
+
+from rainpick import interface as api
+
+BATCH = struct.Struct(">IIQ")
+REPLY = struct.Struct(">II")
+ENTRY = struct.Struct(">fBQHH6sB")
+CODE = struct.Struct(">H")
+COUNT = struct.Struct(">I")
+LEAST_FRAME, MOST_FRAME = BATCH.size, 1 << 30
+
+# Their words for settings, a dotted path piece by piece, and ours.
+WORDS = {
+    "grades": "routes", "sloUs": "slo_time_us", "hardLimitUs": "time_limit_us", "repeat": "effect",
+    "worth": "importance", "lateWorth": "late_importance", "dedupWindowUs": "repeat_window_us",
+    "group": "repeat_group", "aimStretch": "slo_stretch", "domain": "proxies", "safety": "rules",
+    "policyLimits": "limits", "objectiveMix": "goal", "worstClass": "worst_route", "stats": "load",
+    "failureDomains": "zones", "machineTypes": "machines", "az": "zone", "fleetSize": "directors",
+    "roundUs": "round_us", "weightKind": "weights", "fullMayHaveRun": "throttled_may_have_run",
+    "droppedStayOpen": "gone_does_not_bind", "outlierAfter": "ejects_after", "tryAims": "try_slo_times",
+    "classOwnZone": "own_zone_routes", "mutating": "writing_routes", "ranges": "slices", "lbMethod": "pick",
+    "crossZone": "cross_zone", "lateFail": "late_drop",
+}
+VALUES = {"safe": "repeatable", "unsafe": "mutating", "true": True, "false": False}
+
+
+class MalformedError(Exception):
+    """The input is not what the wire allows."""
+
+
+def snake(piece):
+    """Put a camel-case word into our spelling.
+
+    >>> snake("drainGraceUs"), snake("hardLimitUs"), snake("0")
+    ('drain_grace_us', 'time_limit_us', '0')
+    """
+    if piece in WORDS:
+        return WORDS[piece]
+    return "".join("_" + letter.lower() if letter.isupper() else letter for letter in piece)
+
+
+def value(path, text):
+    """Read one value of the settings; names stay text, lists become tuples.
+
+    >>> value("a", "12"), value("a", "0.5"), value("a", "false,true"), value("a", "safe")
+    (12, 0.5, (False, True), 'repeatable')
+    """
+    if "," in text:
+        return tuple(value(path, part) for part in text.split(","))
+    if text in VALUES:
+        return VALUES[text]
+    for kind in (int, float):
+        try:
+            return kind(text)
+        except ValueError:
+            pass
+    return text
+
+
+def settings(text):
+    """Turn path=value lines into a plain map under our words; unknown keys come along unread."""
+    found = {}
+    for line in text.splitlines():
+        path, equals, rest = line.partition("=")
+        if equals:
+            found[".".join(snake(piece) for piece in path.split("."))] = value(path, rest)
+    return found
+
+
+class Frame:
+    """A cursor over the body of one batch."""
+
+    def __init__(self, body, records, now):
+        self.body, self.records, self.now, self.at = body, records, now, 0
+
+    def take(self, form):
+        try:
+            fields = form.unpack_from(self.body, self.at)
+        except struct.error:
+            raise MalformedError(f"a record runs past the end of its frame at {self.at}") from None
+        self.at += form.size
+        return fields
+
+    def run(self, length):
+        if self.at + length > len(self.body):
+            raise MalformedError(f"a field of {length} bytes runs past the end of its frame")
+        self.at += length
+        return self.body[self.at - length:self.at]
+
+    def load(self):
+        count, = self.take(BYTE)
+        return self.take(FLOATS[count])
+
+
+BYTE = struct.Struct(">B")
+FLOATS = [struct.Struct(f">{count}f") for count in range(256)]
+
+
+def read_frame(pipe):
+    """Read one batch, or None at the end of the input."""
+    head = pipe.read(BATCH.size)
+    if not head:
+        return None
+    if len(head) < BATCH.size:
+        raise MalformedError(f"the input ends after {len(head)} bytes of a header")
+    size, records, now = BATCH.unpack(head)
+    if not LEAST_FRAME <= size <= MOST_FRAME:
+        raise MalformedError(f"a frame cannot be {size} bytes long")
+    body = pipe.read(size - BATCH.size)
+    if len(body) < size - BATCH.size:
+        raise MalformedError(f"the input ends {size - BATCH.size - len(body)} bytes short of a frame")
+    return Frame(body, records, now)
+
+
+def plain(form, build):
+    """A reader for records of fixed fields."""
+    form = struct.Struct(form)
+    return lambda frame: build(*frame.take(form))
+
+
+def born(frame):
+    instance, seed, length = frame.take(BORN)
+    try:
+        return instance, api.Started(seed, settings(frame.run(length).decode()))
+    except UnicodeDecodeError as flaw:
+        raise MalformedError(f"the settings are not UTF-8: {flaw}") from None
+
+
+def peer_said(frame):
+    instance, peer, length = frame.take(PEER)
+    return instance, api.PeerSaid(peer, frame.run(length))
+
+
+def probe_ended(frame):
+    instance, took, server, outcome = frame.take(PROBED)
+    return instance, api.ProbeEnded(server, outcome, took, frame.load())
+
+
+def server_met(frame):
+    instance, zone, server, dropped, mean, span, tries = frame.take(HEARD)
+    return instance, api.ServerMet(server, zone, tries, dropped, mean, span, frame.load())
+
+
+BORN, PEER = struct.Struct(">IQI"), struct.Struct(">IHH")
+PROBED, HEARD = struct.Struct(">II6sB"), struct.Struct(">IB6sIIII")
+REGISTRY, DIRECTORY = struct.Struct(">IBIQ"), struct.Struct(">II")
+REGISTRY_CODE, DIRECTORY_CODE, DETACH_CODE, BORN_CODE = 1010, 1140, 1050, 1000
+READERS = {
+    BORN_CODE: born,
+    1020: plain(">IQ", lambda who, label: (who, api.TimerDue(label))),
+    1030: probe_ended,
+    1040: peer_said,
+    DETACH_CODE: plain(">I", lambda who: (who, None)),
+    1060: plain(
+        ">IBfHB", lambda who, on, rate, proxy, zone: (who, api.ProxyJoined(proxy, on != 0, rate, zone))
+    ),
+    1070: plain(">IH", lambda who, proxy: (who, api.ProxyLeft(proxy))),
+    1080: plain(">IHQI", lambda who, proxy, number, took: (who, api.Applied(proxy, number, took))),
+    1090: server_met,
+    1100: plain(">IHBIII", lambda who, *fields: (who, api.ProxyMet(*fields))),
+    1110: plain(">IHBIII", lambda who, *fields: (who, api.SliceMet(*fields))),
+    1120: plain(">IBH", lambda who, on, number: (who, api.SliceGiven(number, on != 0))),
+    1130: plain(">IH6sf", lambda who, *fields: (who, api.SliceLine(*fields))),
+}
+
+
+def entry(fields):
+    weight, zone, started, machine, cell, server, state = fields
+    if state not in (api.GONE, api.READY, api.DRAINING):
+        raise MalformedError(f"a server cannot be in state {state}")
+    return api.Server(weight, zone, started, machine, cell, server, state)
+
+
+def records(frame, lists):
+    """Give out (instance, event) in order; None for an event: it is killed. ``lists`` outlives the frame."""
+    for _ in range(frame.records):
+        code, = frame.take(CODE)
+        if code == DIRECTORY_CODE:
+            number, count = frame.take(DIRECTORY)
+            lists[number] = tuple(map(entry, ENTRY.iter_unpack(frame.run(count * ENTRY.size))))
+        elif code == REGISTRY_CODE:
+            instance, kind, number, version = frame.take(REGISTRY)
+            if kind > api.FAILED or kind != api.FAILED and number not in lists:
+                raise MalformedError(f"a REGISTRY of kind {kind} names list {number}, which was never sent")
+            yield instance, api.Listed(kind, () if kind == api.FAILED else lists[number], version)
+        elif code in READERS:
+            yield READERS[code](frame)
+        else:
+            raise MalformedError(f"no event has the code {code}")
+    if frame.at != len(frame.body):
+        raise MalformedError(f"{len(frame.body) - frame.at} bytes are left over after the last record")
+
+
+def writer(code, form, fields=tuple):
+    form = struct.Struct(">HI" + form)
+    return lambda who, order: form.pack(code, who, *fields(order))
+
+
+def text(code, content):
+    form = struct.Struct(">HIH")
+
+    def write(who, order):
+        data = content(order).encode()[:65535]
+        return form.pack(code, who, len(data)) + data
+    return write
+
+
+def tell(who, order):
+    peer = 65535 if order.peer is None else order.peer
+    return struct.pack(">HIHH", 1100, who, peer, len(order.data)) + order.data
+
+
+WRITERS = {
+    api.ClearTable: writer(1000, "H"),
+    api.Note: text(1010, lambda order: order.text),
+    api.Withdraw: writer(1020, "6sB"),
+    api.Mark: writer(1030, "QB"),
+    api.Bind: writer(1040, "HHH"),
+    api.SetLine: writer(1050, "H6sf"),
+    api.Subscribe: writer(1060, "B"),
+    api.FetchList: writer(1070, ""),
+    api.Probe: writer(1080, "6s"),
+    api.Tell: tell,
+    api.SetTimer: writer(1110, "QI", lambda order: (order.token, max(0, min(order.delay_us, 0xFFFFFFFF)))),
+    api.Admit: writer(1120, "HHfB"),
+}
+failure = text(1090, str)
+
+
+def reply(written):
+    """Frame the records of one reply."""
+    body = b"".join(written)
+    return REPLY.pack(REPLY.size + len(body), len(written)) + body
--- /dev/null
+++ b/tests/test_scenarios.py
@@ -0,0 +1,14 @@
+"""Every file in ``scenarios/`` is played by the one runner."""
+
+from pathlib import Path
+
+import pytest
+
+from tests.play import play
+
+SCENARIOS = sorted((Path(__file__).parent / "scenarios").glob("*.txt"))
+
+
+@pytest.mark.parametrize("path", SCENARIOS, ids=lambda path: path.stem)
+def test_scenario(path):
+    play(path.read_text())
