Cold guard: nothing for cold servers while the fleet drops, where proxies shun

Proxies there keep away from servers that failed them three times; in a jam all warm ones are shunned and a cold server of weight 0.03 gets every call. Now it gets none while the fleet drops over 30%, and less in proportion elsewhere.

--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -26,6 +26,7 @@
 EJECT_DROPS = 4  # fewer dropped calls than this prove nothing
 EJECT_SHARE = 0.3  # nor does a dropped share less than this above the fleet's
 EJECT_MOST = 0.34  # of the listed weight that is ready and warm: more is never shut out on evidence
+CALM = 0.7  # cold servers are used while the fleet answers at least this share of its tries
 HOLD_TICKS = 2  # an ejection lasts this many ticks, twice as many after each relapse
 ROOM = 0.5  # binds and ramp steps leave this part of the channel's queue to withdrawals
 BURST = 0.25  # of the messages that a proxy may be written, this part may go out at once
@@ -83,6 +84,7 @@
         self.settings, self.seed, self.drawn = event.settings, event.seed, 0
         self.servers, self.proxies, self.lines = {}, {}, {}
         self.mark, self.next_tick, self.next_beat, self.judge_due = 0, self.now, self.now, False
+        self.answering = 1.0  # the share of tries that the fleet answers
         self.period_us = self.get("proxies.report_every_us", TICK_US)
         self.routes = range(self.get("routes.count", 0))
         if self.get("discovery", "pushed") == "on_request":
@@ -181,7 +183,10 @@
         started, warm_us = held.entry.started_us, self.get("rules.warm_after_us", 0)
         if started and self.now - started < warm_us:
             least = self.get("rules.start_capacity", FIRST_STEP)
-            part = min(part, least + (1 - least) * max(0, self.now - started) / warm_us)
+            # Where the fleet drops much, a proxy that shuns failing servers itself sends the rest of its calls to
+            # the few it has left, whatever their weight: then a cold server gets none.
+            calm = self.answering if self.answering > CALM or not self.get("proxies.ejects_after", 0) else 0.0
+            part = min(part, least + (1 - least) * max(0, self.now - started) / warm_us) * calm
         return part
 
     def judge(self):
@@ -190,6 +195,8 @@
         bucket = self.now // self.period_us
         ready = [held for held in self.servers.values() if self.warm(held)]
         seen = {held: held.evidence(bucket) for held in ready if not held.eject_until}
+        tries, dropped = (sum(column) for column in list(zip(*seen.values(), strict=True))[:2] or ((0,), (0,)))
+        self.answering = 1 - dropped / max(tries, EJECT_DROPS)
         usual = median([dropped / tries for tries, dropped, _ in seen.values() if tries] or [0.0])
         limit = EJECT_MOST * sum(held.entry.weight for held in ready)
         limit -= sum(held.entry.weight for held in ready if held.eject_until)
