Ease the worst overrun server a step a tick; eject only what is broken, not slow

Cause: stepping all slow servers down at once chased load around the fleet, and shutting overrun servers out took capacity from a full fleet. Now one server a tick is eased by 12.5 points, where it costs 1.6 times the fleet's middle and half the SLO time; shut out is only what drops while the rest of its answers are quick, or answers nothing. Should also hold against listed weights that are wrong; could harm where few tries come and the times are noisy.

--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -27,6 +27,12 @@
 EJECT_SHARE = 0.3  # nor does a dropped share less than this above the fleet's
 EJECT_MOST = 0.34  # of the listed weight that is ready and warm: more is never shut out on evidence
 CALM = 0.7  # cold servers are used while the fleet answers at least this share of its tries
+QUICK = 2  # a server that answers the rest within this multiple of the fleet's time is broken, not overrun
+OVERRUN_TRIES = 10  # fewer tries than this do not show that a server is overrun
+OVERRUN_TIME, OVERRUN_SLO = 1.6, 0.5  # its time is this much longer than the fleet's, and this part of the SLO
+EASE = 0.125  # then it gets so much less
+OVERRUN_TICKS = 4  # for this many ticks at least
+LEAST_HEALTH = 0.3
 HOLD_TICKS = 2  # an ejection lasts this many ticks, twice as many after each relapse
 ROOM = 0.5  # binds and ramp steps leave this part of the channel's queue to withdrawals
 BURST = 0.25  # of the messages that a proxy may be written, this part may go out at once
@@ -40,6 +46,7 @@
         self.entry, self.state, self.shut, self.laid = entry, GONE, False, 0.0
         self.back_us = None  # when it came back from a drain or an ejection
         self.eject_until, self.relapses = 0, 0
+        self.health, self.healthy_us, self.deaf_us = 1.0, 0, 0  # its part on evidence; when to look again
         self.ring, self.bucket = [[0, 0, 0] for _ in range(width)], 0
 
     def note(self, bucket, tries, dropped, mean_us):
@@ -108,6 +115,7 @@
                 held.back_us = self.now
             if entry.started_us != held.entry.started_us:
                 held.eject_until = held.relapses = 0
+                held.health = 1.0
             held.entry, held.state = entry, entry.state
         if event.kind != api.DELTA:
             present = {entry.address for entry in event.servers}
@@ -133,7 +141,7 @@
 
     def met(self, event):
         held = self.servers.get(event.server)
-        if held and not held.eject_until:
+        if held and not held.eject_until and self.now >= held.deaf_us:
             held.note(self.now // self.period_us, event.tries, event.dropped, event.mean_us)
             self.judge_due = True
 
@@ -177,16 +185,17 @@
         """The design's ramp, and the cold guard: never more than a server just started surely can do."""
         if held.state != READY or held.eject_until:
             return 0.0
-        part = 1.0
+        part = held.health
         if held.back_us is not None:
             part = min(part, FIRST_STEP + STEP * ((self.now - held.back_us) // TICK_US))
         started, warm_us = held.entry.started_us, self.get("rules.warm_after_us", 0)
         if started and self.now - started < warm_us:
             least = self.get("rules.start_capacity", FIRST_STEP)
+            part = min(part, least + (1 - least) * max(0, self.now - started) / warm_us)
             # Where the fleet drops much, a proxy that shuns failing servers itself sends the rest of its calls to
             # the few it has left, whatever their weight: then a cold server gets none.
-            calm = self.answering if self.answering > CALM or not self.get("proxies.ejects_after", 0) else 0.0
-            part = min(part, least + (1 - least) * max(0, self.now - started) / warm_us) * calm
+            if self.answering < CALM and self.get("proxies.ejects_after", 0):
+                return 0.0
         return part
 
     def judge(self):
@@ -200,14 +209,35 @@
         usual = median([dropped / tries for tries, dropped, _ in seen.values() if tries] or [0.0])
         limit = EJECT_MOST * sum(held.entry.weight for held in ready)
         limit -= sum(held.entry.weight for held in ready if held.eject_until)
-        worst = sorted(seen, key=lambda held: -seen[held][1])
-        for held in worst:
+        means = {held: took / (tries - dropped) for held, (tries, dropped, took) in seen.items() if tries > dropped}
+        middle = median(means.values() or [0])
+        for held in sorted(seen, key=lambda held: -seen[held][1]):
             tries, dropped, _ = seen[held]
-            if dropped < EJECT_DROPS or dropped / tries < usual + EJECT_SHARE or held.entry.weight > limit:
-                continue
-            limit -= held.entry.weight
-            held.eject_until = self.now + HOLD_TICKS * TICK_US * 2 ** min(held.relapses, 3)
-            held.relapses += 1
+            quick = means.get(held, 0) < QUICK * middle or dropped == tries
+            if dropped >= EJECT_DROPS and dropped / tries > usual + EJECT_SHARE and quick and held.entry.weight <= limit:
+                limit -= held.entry.weight
+                held.eject_until = self.now + HOLD_TICKS * TICK_US * 2 ** min(held.relapses, 3)
+                held.relapses += 1
+
+    def ease(self):
+        """Once a tick the one server that is overrun most, beside the fleet, gets a step less."""
+        slo_us = min(self.get(f"routes.{route}.slo_time_us", 0) for route in self.routes)
+        cost = {}
+        for held in self.servers.values():
+            tries, dropped, took = held.evidence(self.now // self.period_us)
+            if self.warm(held) and not held.eject_until and held.back_us is None and tries >= OVERRUN_TRIES:
+                cost[held] = (took + dropped * slo_us * 2) / tries
+        middle = median(cost.values()) if cost else 0
+        worst = max(cost, key=cost.get, default=None)
+        if worst and cost[worst] > max(OVERRUN_TIME * middle, OVERRUN_SLO * slo_us) and worst.health > LEAST_HEALTH:
+            worst.health -= EASE
+            worst.healthy_us = self.now + OVERRUN_TICKS * TICK_US
+            worst.deaf_us = self.now + 2 * self.period_us
+            worst.evidence(self.now // self.period_us + RING)
+        for held in cost:
+            if held.health < 1 and self.now >= held.healthy_us and cost[held] < middle:
+                held.health += EASE
+                held.healthy_us = self.now + OVERRUN_TICKS * TICK_US
 
     def waiting(self):
         """Lines that may still wait in the channel: those of every message that no proxy has answered."""
@@ -236,12 +266,15 @@
         tick = calm and self.now >= self.next_tick
         if tick:
             self.next_tick = self.now + TICK_US
+            self.ease()
         changes = []
         for address, held in self.servers.items():
             if tick and held.eject_until and self.now >= held.eject_until:
                 held.eject_until, held.back_us = 0, self.now
                 held.evidence(self.now // self.period_us + RING)
             part = self.percentage(held)
+            if held.back_us is not None and part >= held.health:
+                held.back_us = None
             if part <= 0:
                 if not held.shut and most >= 1:
                     changes.append(api.Withdraw(address, True))
