Eject only beyond chance, and only what answers the rest within the SLO time

In a jam every server drops some; four drops of eight were enough to shut one out, and each one shut out deepened the jam. Now the excess over the others' share must stand three deviations out and the rest of its answers be quick. Also holds against bursts and stalled proxies; could be late for a server that is both slow and failing.

--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -25,7 +25,8 @@
 RING = 4  # buckets of evidence, each as long as the reports' period
 EJECT_DROPS = 4  # fewer dropped calls than this prove nothing
 EJECT_SHARE = 0.3  # nor does a dropped share less than this above the fleet's
-EJECT_MOST = 0.34  # of the listed weight that is ready and warm: more is never shut out on evidence
+SURE = 3.0  # nor does an excess under so many standard deviations
+EJECT_MOST = 0.34  # of the listed weight that is ready and warm: no more is shut out on evidence
 CALM = 0.7  # cold servers are used while the fleet answers at least this share of its tries
 QUICK = 2  # a server that answers the rest within this multiple of the fleet's time is broken, not overrun
 OVERRUN_TRIES = 10  # fewer tries than this do not show that a server is overrun
@@ -94,6 +95,7 @@
         self.answering = 1.0  # the share of tries that the fleet answers
         self.period_us = self.get("proxies.report_every_us", TICK_US)
         self.routes = range(self.get("routes.count", 0))
+        self.slo_us = min((self.get(f"routes.{route}.slo_time_us", 0) for route in self.routes), default=0)
         if self.get("discovery", "pushed") == "on_request":
             self.orders.append(api.Subscribe(True))
         for route in self.routes if not self.get("proxies.slices", 0) else ():
@@ -204,32 +206,34 @@
         bucket = self.now // self.period_us
         ready = [held for held in self.servers.values() if self.warm(held)]
         seen = {held: held.evidence(bucket) for held in ready if not held.eject_until}
-        tries, dropped = (sum(column) for column in list(zip(*seen.values(), strict=True))[:2] or ((0,), (0,)))
-        self.answering = 1 - dropped / max(tries, EJECT_DROPS)
-        usual = median([dropped / tries for tries, dropped, _ in seen.values() if tries] or [0.0])
+        all_tries = sum(tries for tries, _, _ in seen.values())
+        all_dropped = sum(dropped for _, dropped, _ in seen.values())
+        self.answering = 1 - all_dropped / max(all_tries, EJECT_DROPS)
         limit = EJECT_MOST * sum(held.entry.weight for held in ready)
         limit -= sum(held.entry.weight for held in ready if held.eject_until)
         means = {held: took / (tries - dropped) for held, (tries, dropped, took) in seen.items() if tries > dropped}
         middle = median(means.values() or [0])
         for held in sorted(seen, key=lambda held: -seen[held][1]):
             tries, dropped, _ = seen[held]
-            quick = means.get(held, 0) < QUICK * middle or dropped == tries
-            if dropped >= EJECT_DROPS and dropped / tries > usual + EJECT_SHARE and quick and held.entry.weight <= limit:
+            usual = (all_dropped - dropped) / max(1, all_tries - tries)
+            excess = dropped - usual * tries
+            sure = excess > SURE * (tries * usual * (1 - usual) + 1) ** 0.5 and excess > EJECT_SHARE * tries
+            quick = means.get(held, 0) < min(QUICK * middle, self.slo_us) or dropped == tries
+            if dropped >= EJECT_DROPS and sure and quick and held.entry.weight <= limit:
                 limit -= held.entry.weight
                 held.eject_until = self.now + HOLD_TICKS * TICK_US * 2 ** min(held.relapses, 3)
                 held.relapses += 1
 
     def ease(self):
         """Once a tick the one server that is overrun most, beside the fleet, gets a step less."""
-        slo_us = min(self.get(f"routes.{route}.slo_time_us", 0) for route in self.routes)
         cost = {}
         for held in self.servers.values():
             tries, dropped, took = held.evidence(self.now // self.period_us)
             if self.warm(held) and not held.eject_until and held.back_us is None and tries >= OVERRUN_TRIES:
-                cost[held] = (took + dropped * slo_us * 2) / tries
+                cost[held] = (took + dropped * self.slo_us * 2) / tries
         middle = median(cost.values()) if cost else 0
         worst = max(cost, key=cost.get, default=None)
-        if worst and cost[worst] > max(OVERRUN_TIME * middle, OVERRUN_SLO * slo_us) and worst.health > LEAST_HEALTH:
+        if worst and cost[worst] > max(OVERRUN_TIME * middle, OVERRUN_SLO * self.slo_us) and worst.health > LEAST_HEALTH:
             worst.health -= EASE
             worst.healthy_us = self.now + OVERRUN_TICKS * TICK_US
             worst.deaf_us = self.now + 2 * self.period_us
