--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -31,6 +31,7 @@
 QUICK = 2  # a server that answers the rest within this multiple of the fleet's time is broken, not overrun
 OVERRUN_TRIES = 10  # fewer tries than this do not show that a server is overrun
 OVERRUN_TIME, OVERRUN_SLO = 1.6, 0.5  # its time is this much longer than the fleet's, and this part of the SLO
+JAM, EASY = 0.75, 0.5  # the fleet's middle time as a part of the SLO time: retries stop, or follow any failure
 EASE = 0.125  # then it gets so much less
 OVERRUN_TICKS = 4  # for this many ticks at least
 LEAST_HEALTH = 0.3
@@ -98,9 +99,7 @@
         self.slo_us = min((self.get(f"routes.{route}.slo_time_us", 0) for route in self.routes), default=0)
         if self.get("discovery", "pushed") == "on_request":
             self.orders.append(api.Subscribe(True))
-        for route in self.routes if not self.get("proxies.slices", 0) else ():
-            level = 1.0 if self.get("proxies.admit", "ratio") == "ratio" else 1e6
-            self.orders.append(api.Admit(TABLE, 1 << route, level, api.ON_PROOF))
+        self.load, self.modes = 0.0, {}  # the fleet's middle time as a part of the SLO; how routes retry
 
     def get(self, name, default):
         return self.settings.get(name, default)
@@ -213,6 +212,7 @@
         limit -= sum(held.entry.weight for held in ready if held.eject_until)
         means = {held: took / (tries - dropped) for held, (tries, dropped, took) in seen.items() if tries > dropped}
         middle = median(means.values() or [0])
+        self.load = middle / max(1, self.slo_us)
         for held in sorted(seen, key=lambda held: -seen[held][1]):
             tries, dropped, _ = seen[held]
             usual = (all_dropped - dropped) / max(1, all_tries - tries)
@@ -224,6 +224,17 @@
                 held.eject_until = self.now + HOLD_TICKS * TICK_US * 2 ** min(held.relapses, 3)
                 held.relapses += 1
 
+    def retry(self, route):
+        """When a proxy tries again: never into a jam; after any failure only what no server does twice."""
+        effect, name = self.get(f"routes.{route}.effect", "mutating"), f"routes.{route}."
+        once = effect == "repeatable" or (
+            effect == "keyed" and self.get(name + "repeat_group", "") == "all"
+            and self.get(name + "repeat_window_us", 0) > self.get(name + "time_limit_us", 1e18)
+        )
+        if self.load > JAM:
+            return api.NO_RETRY
+        return api.ANY_FAILURE if once and self.load < EASY else api.ON_PROOF
+
     def ease(self):
         """Once a tick the one server that is overrun most, beside the fleet, gets a step less."""
         cost = {}
@@ -272,6 +283,11 @@
             self.next_tick = self.now + TICK_US
             self.ease()
         changes = []
+        for route in self.routes:
+            if self.modes.get(route) != self.retry(route) and (tick or route not in self.modes):
+                self.modes[route] = self.retry(route)
+                level = 1.0 if self.get("proxies.admit", "ratio") == "ratio" else 1e6
+                changes.append(api.Admit(TABLE, 1 << route, level, self.modes[route]))
         for address, held in self.servers.items():
             if tick and held.eject_until and self.now >= held.eject_until:
                 held.eject_until, held.back_us = 0, self.now
