Retry after any failure while a server is broken, where tries keep the SLO time

Only for routes that may run again everywhere, only while drops beyond chance at some server are in evidence or an ejected one returns, and only where a first try may wait the whole SLO time.

--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -99,7 +99,7 @@
         self.slo_us = min((self.get(f"routes.{route}.slo_time_us", 0) for route in self.routes), default=0)
         if self.get("discovery", "pushed") == "on_request":
             self.orders.append(api.Subscribe(True))
-        self.load, self.modes = 0.0, {}  # the fleet's middle time as a part of the SLO; how routes retry
+        self.load, self.broken, self.modes = 0.0, False, {}  # the fleet's middle time as a part of the SLO; how routes retry
 
     def get(self, name, default):
         return self.settings.get(name, default)
@@ -212,12 +212,13 @@
         limit -= sum(held.entry.weight for held in ready if held.eject_until)
         means = {held: took / (tries - dropped) for held, (tries, dropped, took) in seen.items() if tries > dropped}
         middle = median(means.values() or [0])
-        self.load = middle / max(1, self.slo_us)
+        self.load, self.broken = middle / max(1, self.slo_us), any(held.relapses and held.back_us for held in ready)
         for held in sorted(seen, key=lambda held: -seen[held][1]):
             tries, dropped, _ = seen[held]
             usual = (all_dropped - dropped) / max(1, all_tries - tries)
             excess = dropped - usual * tries
             sure = excess > SURE * (tries * usual * (1 - usual) + 1) ** 0.5 and excess > EJECT_SHARE * tries
+            self.broken |= excess > SURE * (tries * usual * (1 - usual) + 1) ** 0.5 and excess > 0.1 * tries
             quick = means.get(held, 0) < min(QUICK * middle, self.slo_us) or dropped == tries
             if dropped >= EJECT_DROPS and sure and quick and held.entry.weight <= limit:
                 limit -= held.entry.weight
@@ -231,9 +232,10 @@
             effect == "keyed" and self.get(name + "repeat_group", "") == "all"
             and self.get(name + "repeat_window_us", 0) > self.get(name + "time_limit_us", 1e18)
         )
+        whole = self.get("proxies.try_slo_times", 0) >= 1  # else first tries are cut that would be in time
         if self.load > JAM:
             return api.NO_RETRY
-        return api.ANY_FAILURE if once and self.load < EASY else api.ON_PROOF
+        return api.ANY_FAILURE if once and whole and self.broken and self.load < EASY else api.ON_PROOF
 
     def ease(self):
         """Once a tick the one server that is overrun most, beside the fleet, gets a step less."""
