--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -93,6 +93,7 @@
         self.settings, self.seed, self.drawn = event.settings, event.seed, 0
         self.servers, self.proxies, self.lines = {}, {}, {}
         self.mark, self.next_tick, self.next_beat, self.judge_due = 0, self.now, self.now, False
+        self.kinds = {}  # the part of machine types that were overrun
         self.answering = 1.0  # the share of tries that the fleet answers
         self.period_us = self.get("proxies.report_every_us", TICK_US)
         self.routes = range(self.get("routes.count", 0))
@@ -186,7 +187,7 @@
         """The design's ramp, and the cold guard: never more than a server just started surely can do."""
         if held.state != READY or held.eject_until:
             return 0.0
-        part = held.health
+        part = held.health * self.kinds.get(held.entry.machine, 1.0)
         if held.back_us is not None:
             part = min(part, FIRST_STEP + STEP * ((self.now - held.back_us) // TICK_US))
         started, warm_us = held.entry.started_us, self.get("rules.warm_after_us", 0)
@@ -238,19 +239,30 @@
         return api.ANY_FAILURE if once and whole and self.broken and self.load < EASY else api.ON_PROOF
 
     def ease(self):
-        """Once a tick the one server that is overrun most, beside the fleet, gets a step less."""
-        cost = {}
+        """Once a tick the machine type, or else the one server, that is overrun most gets a step less."""
+        cost, kinds, bucket = {}, {}, self.now // self.period_us
         for held in self.servers.values():
-            tries, dropped, took = held.evidence(self.now // self.period_us)
+            tries, dropped, took = held.evidence(bucket)
             if self.warm(held) and not held.eject_until and held.back_us is None and tries >= OVERRUN_TRIES:
                 cost[held] = (took + dropped * self.slo_us * 2) / tries
+                kinds.setdefault(held.entry.machine, []).append(cost[held])
+        kinds = {kind: sum(costs) / len(costs) for kind, costs in kinds.items() if len(costs) > 1}
+        if len(kinds) > 1:
+            worst, best = max(kinds, key=kinds.get), min(kinds, key=kinds.get)
+            if kinds[worst] > max(OVERRUN_TIME * kinds[best], OVERRUN_SLO * self.slo_us):
+                part = self.kinds.get(worst, 1.0)
+                self.kinds[worst] = max(LEAST_HEALTH, part - EASE)
+                for held in cost:
+                    held.deaf_us = self.now + 2 * self.period_us
+                    held.evidence(bucket + RING)
+                return
         middle = median(cost.values()) if cost else 0
         worst = max(cost, key=cost.get, default=None)
         if worst and cost[worst] > max(OVERRUN_TIME * middle, OVERRUN_SLO * self.slo_us) and worst.health > LEAST_HEALTH:
             worst.health -= EASE
             worst.healthy_us = self.now + OVERRUN_TICKS * TICK_US
             worst.deaf_us = self.now + 2 * self.period_us
-            worst.evidence(self.now // self.period_us + RING)
+            worst.evidence(bucket + RING)
         for held in cost:
             if held.health < 1 and self.now >= held.healthy_us and cost[held] < middle:
                 held.health += EASE
@@ -295,7 +307,7 @@
                 held.eject_until, held.back_us = 0, self.now
                 held.evidence(self.now // self.period_us + RING)
             part = self.percentage(held)
-            if held.back_us is not None and part >= held.health:
+            if held.back_us is not None and part >= held.health * self.kinds.get(held.entry.machine, 1.0):
                 held.back_us = None
             if part <= 0:
                 if not held.shut and most >= 1:
