Throttle early in a jam, where levels are obeyed, least important first

Cause: at 0.8 of capacity clients' repeats (up to three) hold a jam that began with a burst or a stall. When the fleet's middle time passes half the SLO time, what is let in is set to what is answered, falls by tenths while the jam lasts and rises again after; calls of high importance first, and the proxies with most calls are cut first. Could harm where answers are slow for another cause than load: it never goes under 0.6 of what was answered when it began.

--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -32,6 +32,8 @@
 OVERRUN_TRIES = 10  # fewer tries than this do not show that a server is overrun
 OVERRUN_TIME, OVERRUN_SLO = 1.6, 0.5  # its time is this much longer than the fleet's, and this part of the SLO
 JAM, EASY = 0.75, 0.5  # the fleet's middle time as a part of the SLO time: retries stop, or follow any failure
+THROTTLE = 0.5  # from this load on, calls are throttled
+THROTTLE_PART, THROTTLE_RISE, THROTTLE_LEAST = 0.9, 1.1, 0.6  # what is let in falls and rises so; its least
 EASE = 0.125  # then it gets so much less
 OVERRUN_TICKS = 4  # for this many ticks at least
 LEAST_HEALTH = 0.3
@@ -41,30 +43,34 @@
 TABLE = 0
 
 
+class Ring:
+    """Sums over the last few buckets of time, which are used again in a ring."""
+
+    def __init__(self, columns):
+        self.cells, self.newest = [[0] * columns for _ in range(RING)], 0
+
+    def add(self, bucket, *values):
+        for number in range(max(self.newest + 1, bucket - RING + 1), bucket + 1):
+            self.cells[number % RING][:] = [0] * len(self.cells[0])
+        self.newest = max(bucket, self.newest)
+        cell = self.cells[bucket % RING]
+        for column, value in enumerate(values):
+            cell[column] += value
+
+    def sums(self, bucket):
+        self.add(bucket)
+        return [sum(column) for column in zip(*self.cells, strict=True)]
+
+
 class State:
     """What the director holds of one server."""
 
-    def __init__(self, entry, width):
+    def __init__(self, entry):
         self.entry, self.state, self.shut, self.laid = entry, GONE, False, 0.0
         self.back_us = None  # when it came back from a drain or an ejection
         self.eject_until, self.relapses = 0, 0
         self.health, self.healthy_us, self.deaf_us = 1.0, 0, 0  # its part on evidence; when to look again
-        self.ring, self.bucket = [[0, 0, 0] for _ in range(width)], 0
-
-    def note(self, bucket, tries, dropped, mean_us):
-        """Add to the bucket of now, emptying those that were skipped."""
-        for number in range(max(self.bucket + 1, bucket - len(self.ring) + 1), bucket + 1):
-            self.ring[number % len(self.ring)][:] = 0, 0, 0
-        self.bucket = max(bucket, self.bucket)
-        cell = self.ring[bucket % len(self.ring)]
-        cell[0] += tries
-        cell[1] += dropped
-        cell[2] += (tries - dropped) * mean_us
-
-    def evidence(self, bucket):
-        """Tries, dropped calls and microseconds of answered ones, of the buckets that are not too old."""
-        self.note(bucket, 0, 0, 0)
-        return [sum(column) for column in zip(*self.ring, strict=True)]
+        self.ring = Ring(3)  # tries, dropped ones, microseconds of the answered ones
 
 
 class Proxy:
@@ -72,6 +78,7 @@
 
     def __init__(self, event):
         self.zone, self.rate, self.bound = event.zone, event.rate, False
+        self.calls = {}  # by route: calls that came, and over how many microseconds
         self.unread = deque()  # (mark, lines) of messages not yet answered
         self.tokens, self.filled_us = None, 0  # messages that it may be written, and when that was counted
 
@@ -82,6 +89,9 @@
     def step(self, now, events):
         """Take what happened, return what to do."""
         self.now, self.orders = now, []
+        if type(events[0]) is api.Started:
+            self.started(events[0])
+        self.bucket = now // self.period_us
         for event in events:
             self.HEAR[type(event)](self, event)
         self.decide()
@@ -94,13 +104,15 @@
         self.servers, self.proxies, self.lines = {}, {}, {}
         self.mark, self.next_tick, self.next_beat, self.judge_due = 0, self.now, self.now, False
         self.kinds = {}  # the part of machine types that were overrun
+        self.limit = self.goodput = None  # calls a microsecond that are let in; that are answered
+        self.limit_us, self.answered = 0, Ring(1)
         self.answering = 1.0  # the share of tries that the fleet answers
         self.period_us = self.get("proxies.report_every_us", TICK_US)
         self.routes = range(self.get("routes.count", 0))
         self.slo_us = min((self.get(f"routes.{route}.slo_time_us", 0) for route in self.routes), default=0)
         if self.get("discovery", "pushed") == "on_request":
             self.orders.append(api.Subscribe(True))
-        self.load, self.broken, self.modes = 0.0, False, {}  # the fleet's middle time as a part of the SLO; how routes retry
+        self.load, self.broken, self.said = 0.0, False, {}  # the fleet's middle time as a part of the SLO; how routes retry
 
     def get(self, name, default):
         return self.settings.get(name, default)
@@ -112,7 +124,7 @@
         for entry in event.servers:
             held = self.servers.setdefault(entry.address, None)
             if held is None:
-                held = self.servers[entry.address] = State(entry, RING)
+                held = self.servers[entry.address] = State(entry)
             if entry.state == READY and held.state == DRAINING and entry.started_us == held.entry.started_us:
                 held.back_us = self.now
             if entry.started_us != held.entry.started_us:
@@ -143,10 +155,17 @@
 
     def met(self, event):
         held = self.servers.get(event.server)
+        self.answered.add(self.bucket, event.tries - event.dropped)
         if held and not held.eject_until and self.now >= held.deaf_us:
-            held.note(self.now // self.period_us, event.tries, event.dropped, event.mean_us)
+            took = (event.tries - event.dropped) * event.mean_us
+            held.ring.add(self.bucket, event.tries, event.dropped, took)
             self.judge_due = True
 
+    def called(self, event):
+        if event.proxy in self.proxies:
+            ring = self.proxies[event.proxy].calls.setdefault(event.route, Ring(2))
+            ring.add(self.bucket, event.calls, event.span_us)
+
     def slice_given(self, event):
         if event.on:
             self.lines[event.slice] = {}
@@ -161,8 +180,8 @@
         pass
 
     HEAR = {
-        api.Started: started, api.Listed: listed, api.TimerDue: timer, api.ProxyJoined: joined,
-        api.ProxyLeft: left, api.Applied: applied, api.ServerMet: met, api.ProxyMet: nothing,
+        api.Started: nothing, api.Listed: listed, api.TimerDue: timer, api.ProxyJoined: joined,
+        api.ProxyLeft: left, api.Applied: applied, api.ServerMet: met, api.ProxyMet: called,
         api.SliceMet: nothing, api.ProbeEnded: nothing, api.PeerSaid: nothing, api.SliceGiven: slice_given,
         api.SliceLine: slice_line,
     }
@@ -203,9 +222,8 @@
     def judge(self):
         """Shut out what is far worse than the fleet: a shared trouble moves the median and shuts out none."""
         self.judge_due = False
-        bucket = self.now // self.period_us
         ready = [held for held in self.servers.values() if self.warm(held)]
-        seen = {held: held.evidence(bucket) for held in ready if not held.eject_until}
+        seen = {held: held.ring.sums(self.bucket) for held in ready if not held.eject_until}
         all_tries = sum(tries for tries, _, _ in seen.values())
         all_dropped = sum(dropped for _, dropped, _ in seen.values())
         self.answering = 1 - all_dropped / max(all_tries, EJECT_DROPS)
@@ -213,6 +231,7 @@
         limit -= sum(held.entry.weight for held in ready if held.eject_until)
         means = {held: took / (tries - dropped) for held, (tries, dropped, took) in seen.items() if tries > dropped}
         middle = median(means.values() or [0])
+        self.goodput = self.answered.sums(self.bucket)[0] / (RING * self.period_us)
         self.load, self.broken = middle / max(1, self.slo_us), any(held.relapses and held.back_us for held in ready)
         for held in sorted(seen, key=lambda held: -seen[held][1]):
             tries, dropped, _ = seen[held]
@@ -238,11 +257,59 @@
             return api.NO_RETRY
         return api.ANY_FAILURE if once and whole and self.broken and self.load < EASY else api.ON_PROOF
 
+    def admit(self):
+        """Levels by route: in a jam no more is let in than gets answered, the most important routes first."""
+        kind = self.get("proxies.admit", "silent")
+        full = 1.0 if kind == "ratio" else 1e6
+        demand = {route: [] for route in self.routes}
+        for proxy in self.proxies.values():
+            for route, ring in proxy.calls.items():
+                calls, span_us = ring.sums(self.bucket)
+                demand[route].append(calls / max(1, span_us))
+        total = sum(map(sum, demand.values()))
+        if kind == "silent" or self.goodput is None:
+            return dict.fromkeys(self.routes, full)
+        jam = self.load > THROTTLE or self.answering < CALM
+        if self.limit is None:
+            self.limit = self.floor = self.goodput if jam else None
+        elif jam and self.now >= self.limit_us:
+            self.limit = max(THROTTLE_LEAST * self.floor, THROTTLE_PART * self.limit)
+        elif not jam:
+            self.limit *= THROTTLE_RISE
+            if self.limit > THROTTLE_RISE * total:
+                self.limit = None
+        if jam and self.now >= self.limit_us:
+            self.limit_us = self.now + 2 * TICK_US
+        levels, left = {}, self.limit
+        for route in sorted(self.routes, key=lambda route: -self.get(f"routes.{route}.importance", 1)):
+            wanted = sum(demand[route])
+            if left is None or wanted <= left:
+                levels[route] = full
+            elif kind == "ratio":
+                levels[route] = round(left / wanted, 2)
+            else:
+                levels[route] = round(self.even(demand[route], left) * 1e6, 1)
+            left = left and max(0.0, left - wanted)
+        return levels
+
+    @staticmethod
+    def even(wants, limit):
+        """The level at which those who want more are cut so that all together get no more than the limit.
+
+        >>> Director.even([1, 2, 9], 7)
+        4.0
+        """
+        for done, want in enumerate(sorted(wants)):
+            if want * (len(wants) - done) >= limit:
+                return limit / (len(wants) - done)
+            limit -= want
+        return max(wants)
+
     def ease(self):
         """Once a tick the machine type, or else the one server, that is overrun most gets a step less."""
-        cost, kinds, bucket = {}, {}, self.now // self.period_us
+        cost, kinds = {}, {}
         for held in self.servers.values():
-            tries, dropped, took = held.evidence(bucket)
+            tries, dropped, took = held.ring.sums(self.bucket)
             if self.warm(held) and not held.eject_until and held.back_us is None and tries >= OVERRUN_TRIES:
                 cost[held] = (took + dropped * self.slo_us * 2) / tries
                 kinds.setdefault(held.entry.machine, []).append(cost[held])
@@ -254,7 +321,7 @@
                 self.kinds[worst] = max(LEAST_HEALTH, part - EASE)
                 for held in cost:
                     held.deaf_us = self.now + 2 * self.period_us
-                    held.evidence(bucket + RING)
+                    held.ring = Ring(3)
                 return
         middle = median(cost.values()) if cost else 0
         worst = max(cost, key=cost.get, default=None)
@@ -262,7 +329,7 @@
             worst.health -= EASE
             worst.healthy_us = self.now + OVERRUN_TICKS * TICK_US
             worst.deaf_us = self.now + 2 * self.period_us
-            worst.evidence(bucket + RING)
+            worst.ring = Ring(3)
         for held in cost:
             if held.health < 1 and self.now >= held.healthy_us and cost[held] < middle:
                 held.health += EASE
@@ -297,15 +364,17 @@
             self.next_tick = self.now + TICK_US
             self.ease()
         changes = []
-        for route in self.routes:
-            if self.modes.get(route) != self.retry(route) and (tick or route not in self.modes):
-                self.modes[route] = self.retry(route)
-                level = 1.0 if self.get("proxies.admit", "ratio") == "ratio" else 1e6
-                changes.append(api.Admit(TABLE, 1 << route, level, self.modes[route]))
+        if tick or not self.said:
+            levels = self.admit()
+            for route in self.routes:
+                said = levels[route], self.retry(route)
+                if self.said.get(route) != said:
+                    self.said[route] = said
+                    changes.append(api.Admit(TABLE, 1 << route, *said))
         for address, held in self.servers.items():
             if tick and held.eject_until and self.now >= held.eject_until:
                 held.eject_until, held.back_us = 0, self.now
-                held.evidence(self.now // self.period_us + RING)
+                held.ring = Ring(3)
             part = self.percentage(held)
             if held.back_us is not None and part >= held.health * self.kinds.get(held.entry.machine, 1.0):
                 held.back_us = None
