--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -28,10 +28,10 @@
 SURE = 3.0  # nor does an excess under so many standard deviations
 EJECT_MOST = 0.34  # of the listed weight that is ready and warm: no more is shut out on evidence
 CALM = 0.7  # cold servers are used while the fleet answers at least this share of its tries
-QUICK = 2  # a server that answers the rest within this multiple of the fleet's time is broken, not overrun
+QUICK = 2  # what answers the rest within this multiple of the fleet's time is broken, not overrun
 OVERRUN_TRIES = 10  # fewer tries than this do not show that a server is overrun
-OVERRUN_TIME, OVERRUN_SLO = 1.6, 0.5  # its time is this much longer than the fleet's, and this part of the SLO
-JAM, EASY = 0.75, 0.5  # the fleet's middle time as a part of the SLO time: retries stop, or follow any failure
+OVERRUN_TIME, OVERRUN_SLO = 1.6, 0.5  # its time is so much longer than the fleet's, and this part of the SLO
+JAM, EASY = 0.75, 0.5  # the fleet's middle time as a part of the SLO: retries stop, or follow any failure
 THROTTLE = 0.5  # from this load on, calls are throttled
 THROTTLE_PART, THROTTLE_RISE, THROTTLE_LEAST = 0.9, 1.1, 0.6  # what is let in falls and rises so; its least
 EASE = 0.125  # then it gets so much less
@@ -112,7 +112,7 @@
         self.slo_us = min((self.get(f"routes.{route}.slo_time_us", 0) for route in self.routes), default=0)
         if self.get("discovery", "pushed") == "on_request":
             self.orders.append(api.Subscribe(True))
-        self.load, self.broken, self.said = 0.0, False, {}  # the fleet's middle time as a part of the SLO; how routes retry
+        self.load, self.broken, self.said = 0.0, False, {}  # the fleet's middle time as a part of the SLO time
 
     def get(self, name, default):
         return self.settings.get(name, default)
@@ -213,8 +213,8 @@
         if started and self.now - started < warm_us:
             least = self.get("rules.start_capacity", FIRST_STEP)
             part = min(part, least + (1 - least) * max(0, self.now - started) / warm_us)
-            # Where the fleet drops much, a proxy that shuns failing servers itself sends the rest of its calls to
-            # the few it has left, whatever their weight: then a cold server gets none.
+            # Where the fleet drops much, a proxy that shuns failing servers itself sends the rest of its calls
+            # to the few it has left, whatever their weight: then a cold server gets none.
             if self.answering < CALM and self.get("proxies.ejects_after", 0):
                 return 0.0
         return part
@@ -229,10 +229,11 @@
         self.answering = 1 - all_dropped / max(all_tries, EJECT_DROPS)
         limit = EJECT_MOST * sum(held.entry.weight for held in ready)
         limit -= sum(held.entry.weight for held in ready if held.eject_until)
-        means = {held: took / (tries - dropped) for held, (tries, dropped, took) in seen.items() if tries > dropped}
+        means = {held: took / (tries - lost) for held, (tries, lost, took) in seen.items() if tries > lost}
         middle = median(means.values() or [0])
         self.goodput = self.answered.sums(self.bucket)[0] / (RING * self.period_us)
-        self.load, self.broken = middle / max(1, self.slo_us), any(held.relapses and held.back_us for held in ready)
+        self.load = middle / max(1, self.slo_us)
+        self.broken = any(held.relapses and held.back_us for held in ready)
         for held in sorted(seen, key=lambda held: -seen[held][1]):
             tries, dropped, _ = seen[held]
             usual = (all_dropped - dropped) / max(1, all_tries - tries)
@@ -325,7 +326,8 @@
                 return
         middle = median(cost.values()) if cost else 0
         worst = max(cost, key=cost.get, default=None)
-        if worst and cost[worst] > max(OVERRUN_TIME * middle, OVERRUN_SLO * self.slo_us) and worst.health > LEAST_HEALTH:
+        bound = max(OVERRUN_TIME * middle, OVERRUN_SLO * self.slo_us)
+        if worst and cost[worst] > bound and worst.health > LEAST_HEALTH:
             worst.health -= EASE
             worst.healthy_us = self.now + OVERRUN_TICKS * TICK_US
             worst.deaf_us = self.now + 2 * self.period_us
--- a/tests/play.py
+++ b/tests/play.py
@@ -30,7 +30,8 @@
 
 class Play:
     def __init__(self):
-        self.settings, self.director, self.now, self.blocked = {"routes.count": 1, "routes.0.slo_time_us": 500_000}, Director(), 0, 0
+        self.settings = {"routes.count": 1, "routes.0.slo_time_us": 500_000}
+        self.director, self.now, self.blocked = Director(), 0, 0
         self.bells, self.listed, self.seen = [], {}, []
         self.joined, self.table, self.shut, self.writes, self.deaf = {}, {}, set(), {}, set()
 
