--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -8,8 +8,10 @@
 Beside the design stand these mechanisms (six at most):
 1. Paced channel: lines that wait and messages per proxy are accounted for; what is urgent goes first.
 2. Cold guard: the percentage of a server that started lately follows its listed start time.
-3. Ejection on evidence: a server far worse than the fleet is shut out, and comes back by the ramp.
-4. Retries by route: what a proxy may try again follows from the route's effect.
+3. Ejection on evidence: a server that drops beyond chance or falls silent is shut out; back on trial.
+4. Easing: a machine type or a server that is overrun beside the rest gets a lower percentage.
+5. Retries on proof that the first try never ran, on every route; none while the fleet is in a jam.
+6. Throttling: where levels are obeyed, a jammed fleet gets no more calls than it answers.
 """
 
 from collections import deque
@@ -23,24 +25,29 @@
 BEAT_US = TICK_US // 8  # how often what was put off is looked at again
 FIRST_STEP, STEP = 0.25, 0.25  # back from a drain or an ejection: the first percentage, the points per tick
 RING = 4  # buckets of evidence, each as long as the reports' period
-EJECT_DROPS = 4  # fewer dropped calls than this prove nothing
-EJECT_SHARE = 0.3  # nor does a dropped share less than this above the fleet's
-SURE = 3.0  # nor does an excess under so many standard deviations
-EJECT_MOST = 0.34  # of the listed weight that is ready and warm: no more is shut out on evidence
-CALM = 0.7  # cold servers are used while the fleet answers at least this share of its tries
+TABLE = 0
+
+ROOM = 0.5  # binds and ramp steps leave this part of the channel's queue to withdrawals
+BURST = 0.25  # of the messages that a proxy may be written, this part may go out at once
+
+CALM = 0.7  # a fleet that answers less than this share of its tries is in a jam
+JAM = 0.75  # so is one whose middle time is this part of the SLO time: then nobody tries again
+
+EJECT_DROPS, EJECT_SHARE = 4, 0.3  # fewer drops, or a share less above the others', eject nobody,
+SURE = 3.0  # nor does an excess of fewer standard deviations
 QUICK = 2  # what answers the rest within this multiple of the fleet's time is broken, not overrun
+SILENT_TRIES, SILENT_PERIODS = 8, 2  # silent: so many tries were due over so many periods, and none ended
+EJECT_MOST, DEAD_MOST = 0.34, 0.6  # parts of the listed weight: ejected at most; and if it answers nothing
+HOLD_TICKS = 2  # an ejection lasts this many ticks, twice as many after each relapse
+TRIAL, TRIAL_TRIES, TRIAL_TICKS = 0.25, 3, 1  # then it has this percentage, until so many tries or ticks
+
 OVERRUN_TRIES = 10  # fewer tries than this do not show that a server is overrun
 OVERRUN_TIME, OVERRUN_SLO = 1.6, 0.5  # its time is so much longer than the fleet's, and this part of the SLO
-JAM, EASY = 0.75, 0.5  # the fleet's middle time as a part of the SLO: retries stop, or follow any failure
-THROTTLE = 0.5  # from this load on, calls are throttled
+EASE, EASE_LEAST = 0.125, 0.3  # then it gets so much less, but this at least
+EASE_TICKS = 4  # for this many ticks
+
+THROTTLE = 0.5  # from this middle time on, as a part of the SLO time, calls are throttled
 THROTTLE_PART, THROTTLE_RISE, THROTTLE_LEAST = 0.9, 1.1, 0.6  # what is let in falls and rises so; its least
-EASE = 0.125  # then it gets so much less
-OVERRUN_TICKS = 4  # for this many ticks at least
-LEAST_HEALTH = 0.3
-HOLD_TICKS = 2  # an ejection lasts this many ticks, twice as many after each relapse
-ROOM = 0.5  # binds and ramp steps leave this part of the channel's queue to withdrawals
-BURST = 0.25  # of the messages that a proxy may be written, this part may go out at once
-TABLE = 0
 
 
 class Ring:
@@ -66,18 +73,23 @@
     """What the director holds of one server."""
 
     def __init__(self, entry):
-        self.entry, self.state, self.shut, self.laid = entry, GONE, False, 0.0
-        self.back_us = None  # when it came back from a drain or an ejection
-        self.eject_until, self.relapses = 0, 0
-        self.health, self.healthy_us, self.deaf_us = 1.0, 0, 0  # its part on evidence; when to look again
-        self.ring = Ring(3)  # tries, dropped ones, microseconds of the answered ones
+        self.entry, self.state = entry, GONE
+        self.shut, self.laid = False, 0.0  # as proxies were told
+        self.drops, self.times = Ring(3), Ring(3)  # tries, dropped ones, microseconds of the answered ones
+        self.fresh()
+
+    def fresh(self):
+        """It has just started: what was held against it is void."""
+        self.back_us = self.trial_us = None  # when its ramp began, after a drain or trial; and its trial
+        self.eject_until, self.relapses, self.heard_us = 0, 0, 0
+        self.health, self.eased_us = 1.0, 0
 
 
 class Proxy:
     """What the director holds of one joined proxy."""
 
     def __init__(self, event):
-        self.zone, self.rate, self.bound = event.zone, event.rate, False
+        self.rate, self.bound = event.rate, False
         self.calls = {}  # by route: calls that came, and over how many microseconds
         self.unread = deque()  # (mark, lines) of messages not yet answered
         self.tokens, self.filled_us = None, 0  # messages that it may be written, and when that was counted
@@ -90,46 +102,55 @@
         """Take what happened, return what to do."""
         self.now, self.orders = now, []
         if type(events[0]) is api.Started:
-            self.started(events[0])
+            self.start(events[0])
         self.bucket = now // self.period_us
         for event in events:
-            self.HEAR[type(event)](self, event)
-        self.decide()
+            hear = self.HEAR.get(type(event))
+            if hear:
+                hear(self, event)
+        if self.reported:
+            self.judge()
+        if now >= self.next_beat:
+            self.next_beat = now + BEAT_US
+            self.orders.append(api.SetTimer(0, BEAT_US))
+        if self.get("proxies.slices", 0):
+            self.keep_slices()
+        else:
+            self.lay()
         return self.orders
 
-    # What is heard
+    def get(self, name, default):
+        return self.settings.get(name, default)
 
-    def started(self, event):
-        self.settings, self.seed, self.drawn = event.settings, event.seed, 0
-        self.servers, self.proxies, self.lines = {}, {}, {}
-        self.mark, self.next_tick, self.next_beat, self.judge_due = 0, self.now, self.now, False
-        self.kinds = {}  # the part of machine types that were overrun
-        self.limit = self.goodput = None  # calls a microsecond that are let in; that are answered
-        self.limit_us, self.answered = 0, Ring(1)
-        self.answering = 1.0  # the share of tries that the fleet answers
+    def start(self, event):
+        self.settings, self.seed = event.settings, event.seed
+        self.servers, self.proxies, self.slices = {}, {}, {}
+        self.mark, self.next_tick, self.next_beat, self.wait_us = 0, self.now, self.now, 0
         self.period_us = self.get("proxies.report_every_us", TICK_US)
         self.routes = range(self.get("routes.count", 0))
-        self.slo_us = min((self.get(f"routes.{route}.slo_time_us", 0) for route in self.routes), default=0)
+        self.slo_us = min((self.get(f"routes.{route}.slo_time_us", 1) for route in self.routes), default=1)
+        self.ended, self.reported = Ring(2), False  # tries that ended anywhere, dropped ones
+        self.load, self.answering = 0.0, 1.0  # middle time over SLO time; share answered
+        self.kinds, self.settled_us = {}, 0  # the part of machine types that are eased
+        self.limit, self.limit_us = None, 0  # calls a microsecond that are let in
+        self.said = {}  # by route: level and way to retry, as proxies were told
         if self.get("discovery", "pushed") == "on_request":
             self.orders.append(api.Subscribe(True))
-        self.load, self.broken, self.said = 0.0, False, {}  # the fleet's middle time as a part of the SLO time
 
-    def get(self, name, default):
-        return self.settings.get(name, default)
+    # What is heard
 
     def listed(self, event):
         if event.kind == api.FAILED:
             self.orders.append(api.SetTimer(1, TICK_US))
             return
         for entry in event.servers:
-            held = self.servers.setdefault(entry.address, None)
+            held = self.servers.get(entry.address)
             if held is None:
                 held = self.servers[entry.address] = State(entry)
-            if entry.state == READY and held.state == DRAINING and entry.started_us == held.entry.started_us:
-                held.back_us = self.now
             if entry.started_us != held.entry.started_us:
-                held.eject_until = held.relapses = 0
-                held.health = 1.0
+                held.fresh()
+            elif entry.state == READY and held.state == DRAINING:
+                held.back_us = self.now
             held.entry, held.state = entry, entry.state
         if event.kind != api.DELTA:
             present = {entry.address for entry in event.servers}
@@ -155,11 +176,13 @@
 
     def met(self, event):
         held = self.servers.get(event.server)
-        self.answered.add(self.bucket, event.tries - event.dropped)
-        if held and not held.eject_until and self.now >= held.deaf_us:
+        self.ended.add(self.bucket, event.tries, event.dropped)
+        if held and not held.eject_until:
             took = (event.tries - event.dropped) * event.mean_us
-            held.ring.add(self.bucket, event.tries, event.dropped, took)
-            self.judge_due = True
+            held.drops.add(self.bucket, event.tries, event.dropped, took)
+            if self.now >= max(held.eased_us, self.settled_us):
+                held.times.add(self.bucket, event.tries, event.dropped, took)
+            held.heard_us, self.reported = self.now, True
 
     def called(self, event):
         if event.proxy in self.proxies:
@@ -168,98 +191,141 @@
 
     def slice_given(self, event):
         if event.on:
-            self.lines[event.slice] = {}
+            self.slices[event.slice] = {}
         else:
-            self.lines.pop(event.slice, None)
+            self.slices.pop(event.slice, None)
 
     def slice_line(self, event):
-        if event.slice in self.lines:
-            self.lines[event.slice][event.server] = event.weight
-
-    def nothing(self, event):
-        pass
+        if event.slice in self.slices:
+            self.slices[event.slice][event.server] = event.weight
 
     HEAR = {
-        api.Started: nothing, api.Listed: listed, api.TimerDue: timer, api.ProxyJoined: joined,
-        api.ProxyLeft: left, api.Applied: applied, api.ServerMet: met, api.ProxyMet: called,
-        api.SliceMet: nothing, api.ProbeEnded: nothing, api.PeerSaid: nothing, api.SliceGiven: slice_given,
-        api.SliceLine: slice_line,
+        api.Listed: listed, api.TimerDue: timer, api.ProxyJoined: joined, api.ProxyLeft: left,
+        api.Applied: applied, api.ServerMet: met, api.ProxyMet: called,
+        api.SliceGiven: slice_given, api.SliceLine: slice_line,
     }
 
-    # What is decided
-
-    def decide(self):
-        if self.judge_due:
-            self.judge()
-        if self.now >= self.next_beat:
-            self.next_beat = self.now + BEAT_US
-            self.orders.append(api.SetTimer(0, BEAT_US))
-        if self.get("proxies.slices", 0):
-            self.keep_slices()
-        else:
-            self.lay()
+    # Desired state
 
     def warm(self, held):
-        return held.state == READY and self.now - held.entry.started_us >= self.get("rules.warm_after_us", 0)
+        started = held.entry.started_us
+        old = not started or self.now - started >= self.get("rules.warm_after_us", 0)
+        return held.state == READY and old
 
     def percentage(self, held):
-        """The design's ramp, and the cold guard: never more than a server just started surely can do."""
+        """The design's ramp; and the cold guard: never more than a server just started surely can do."""
         if held.state != READY or held.eject_until:
             return 0.0
-        part = held.health * self.kinds.get(held.entry.machine, 1.0)
+        part = full = held.health * self.kinds.get(held.entry.machine, 1.0)
+        if held.trial_us is not None:
+            part = min(part, TRIAL)
         if held.back_us is not None:
             part = min(part, FIRST_STEP + STEP * ((self.now - held.back_us) // TICK_US))
-        started, warm_us = held.entry.started_us, self.get("rules.warm_after_us", 0)
-        if started and self.now - started < warm_us:
-            least = self.get("rules.start_capacity", FIRST_STEP)
-            part = min(part, least + (1 - least) * max(0, self.now - started) / warm_us)
-            # Where the fleet drops much, a proxy that shuns failing servers itself sends the rest of its calls
-            # to the few it has left, whatever their weight: then a cold server gets none.
+            if part >= full:
+                held.back_us = None
+        if not self.warm(held):
+            # Where the fleet drops much, a proxy that shuns failing servers itself sends the rest of its
+            # calls to the few it has left, whatever their weight: then a cold server gets none.
             if self.answering < CALM and self.get("proxies.ejects_after", 0):
                 return 0.0
+            least, age_us = self.get("rules.start_capacity", FIRST_STEP), self.now - held.entry.started_us
+            part = min(part, least + (1 - least) * max(0, age_us) / self.get("rules.warm_after_us", 1))
         return part
 
+    # Health
+
     def judge(self):
-        """Shut out what is far worse than the fleet: a shared trouble moves the median and shuts out none."""
-        self.judge_due = False
+        """Eject what drops beyond chance, or falls silent, beside the rest; a shared trouble ejects nobody.
+
+        It guards against servers that fail fast, hang or vanish long before the list says so, whatever the
+        cause. In a jam every server drops and is slow: then only what answers nothing at all is ejected.
+        """
+        self.reported = False
         ready = [held for held in self.servers.values() if self.warm(held)]
-        seen = {held: held.ring.sums(self.bucket) for held in ready if not held.eject_until}
+        seen = {held: held.drops.sums(self.bucket) for held in ready if not held.eject_until}
         all_tries = sum(tries for tries, _, _ in seen.values())
         all_dropped = sum(dropped for _, dropped, _ in seen.values())
         self.answering = 1 - all_dropped / max(all_tries, EJECT_DROPS)
-        limit = EJECT_MOST * sum(held.entry.weight for held in ready)
-        limit -= sum(held.entry.weight for held in ready if held.eject_until)
         means = {held: took / (tries - lost) for held, (tries, lost, took) in seen.items() if tries > lost}
         middle = median(means.values() or [0])
-        self.goodput = self.answered.sums(self.bucket)[0] / (RING * self.period_us)
-        self.load = middle / max(1, self.slo_us)
-        self.broken = any(held.relapses and held.back_us for held in ready)
+        self.load = middle / self.slo_us
+        gap_us = median([self.now - held.heard_us for held in seen] or [0]) + self.period_us
+        weight, laid = sum(held.entry.weight for held in ready), sum(held.laid for held in seen)
+        out = weight - sum(held.entry.weight for held in seen)
         for held in sorted(seen, key=lambda held: -seen[held][1]):
             tries, dropped, _ = seen[held]
-            usual = (all_dropped - dropped) / max(1, all_tries - tries)
+            usual = max(0, all_dropped - dropped) / max(1, all_tries - tries)
             excess = dropped - usual * tries
-            sure = excess > SURE * (tries * usual * (1 - usual) + 1) ** 0.5 and excess > EJECT_SHARE * tries
-            self.broken |= excess > SURE * (tries * usual * (1 - usual) + 1) ** 0.5 and excess > 0.1 * tries
-            quick = means.get(held, 0) < min(QUICK * middle, self.slo_us) or dropped == tries
-            if dropped >= EJECT_DROPS and sure and quick and held.entry.weight <= limit:
-                limit -= held.entry.weight
+            sure = excess > SURE * (tries * usual * (1 - usual) + 1) ** 0.5
+            dead = dropped == tries > 0
+            quick = means.get(held, 0) < min(QUICK * middle, self.slo_us)
+            failing = sure and dropped >= EJECT_DROPS and excess > EJECT_SHARE * tries and (quick or dead)
+            if held.trial_us is not None and tries >= TRIAL_TRIES:
+                failing = dropped > tries / 2
+            quiet_us = self.now - held.heard_us if held.heard_us else 0
+            due = held.laid / max(laid, 1e-9) * all_tries * quiet_us / (RING * self.period_us)
+            if quiet_us > SILENT_PERIODS * gap_us and due > SILENT_TRIES and not self.jam():
+                failing = dead = True
+            if failing and out + held.entry.weight <= weight * (DEAD_MOST if dead else EJECT_MOST):
+                out += held.entry.weight
                 held.eject_until = self.now + HOLD_TICKS * TICK_US * 2 ** min(held.relapses, 3)
-                held.relapses += 1
-
-    def retry(self, route):
-        """When a proxy tries again: never into a jam; after any failure only what no server does twice."""
-        effect, name = self.get(f"routes.{route}.effect", "mutating"), f"routes.{route}."
-        once = effect == "repeatable" or (
-            effect == "keyed" and self.get(name + "repeat_group", "") == "all"
-            and self.get(name + "repeat_window_us", 0) > self.get(name + "time_limit_us", 1e18)
-        )
-        whole = self.get("proxies.try_slo_times", 0) >= 1  # else first tries are cut that would be in time
-        if self.load > JAM:
-            return api.NO_RETRY
-        return api.ANY_FAILURE if once and whole and self.broken and self.load < EASY else api.ON_PROOF
-
-    def admit(self):
-        """Levels by route: in a jam no more is let in than gets answered, the most important routes first."""
+                held.relapses, held.trial_us, held.back_us = held.relapses + 1, None, None
+
+    def jam(self):
+        return self.load > JAM or self.answering < CALM
+
+    def revive(self, held):
+        """By the tick: an ejected server comes back on trial, and by the ramp once it has answered there."""
+        if held.eject_until and self.now >= held.eject_until:
+            held.eject_until, held.trial_us, held.heard_us, held.drops = 0, self.now, 0, Ring(3)
+        elif held.trial_us is not None:
+            tries, dropped, _ = held.drops.sums(self.bucket)
+            passed = tries >= TRIAL_TRIES and dropped <= tries / 2
+            if passed or self.now - held.trial_us > TRIAL_TICKS * TICK_US:
+                held.trial_us, held.back_us = None, self.now
+
+    def ease(self):
+        """Once a tick the machine type, or else the one server, that is overrun most gets a step less.
+
+        It guards against listed weights that are wrong, for a type or for one server, and against anything
+        that slows some servers. One at a time: easing all slow ones at once only moves the load to the next.
+        """
+        cost, kinds = {}, {}
+        for held in self.servers.values():
+            tries, dropped, took = held.times.sums(self.bucket)
+            steady = not held.eject_until and held.back_us is None and held.trial_us is None
+            if self.warm(held) and steady and tries >= OVERRUN_TRIES:
+                cost[held] = (took + dropped * self.slo_us * 2) / tries
+                kinds.setdefault(held.entry.machine, []).append(cost[held])
+        kinds = {kind: sum(costs) / len(costs) for kind, costs in kinds.items() if len(costs) > 1}
+        bad = OVERRUN_SLO * self.slo_us
+        worst, best = max(kinds, key=kinds.get, default=None), min(kinds, key=kinds.get, default=None)
+        if worst is not None and kinds[worst] > max(OVERRUN_TIME * kinds[best], bad):
+            if self.kinds.get(best, 1.0) < 1:
+                self.kinds[best] += EASE
+            else:
+                self.kinds[worst] = max(EASE_LEAST, self.kinds.get(worst, 1.0) - EASE)
+            self.settled_us = self.now + SILENT_PERIODS * self.period_us
+            for held in cost:
+                held.times = Ring(3)
+            return
+        middle, worst = median(cost.values() or [0]), max(cost, key=cost.get, default=None)
+        if worst and cost[worst] > max(OVERRUN_TIME * middle, bad) and worst.health > EASE_LEAST:
+            worst.health -= EASE
+            worst.eased_us, worst.times = self.now + SILENT_PERIODS * self.period_us, Ring(3)
+        for held in cost:
+            if held.health < 1 and cost[held] < middle and self.now >= held.eased_us + EASE_TICKS * TICK_US:
+                held.health += EASE
+                held.eased_us = self.now
+
+    # Levels and retries
+
+    def levels(self):
+        """By route, what is let in: in a jam no more than gets answered, the most important routes first.
+
+        It guards against jams that clients' repeats keep alive, whatever began them. What is let in never
+        goes under a part of what was answered at the start, as fewer calls also mean fewer answers.
+        """
         kind = self.get("proxies.admit", "silent")
         full = 1.0 if kind == "ratio" else 1e6
         demand = {route: [] for route in self.routes}
@@ -268,29 +334,30 @@
                 calls, span_us = ring.sums(self.bucket)
                 demand[route].append(calls / max(1, span_us))
         total = sum(map(sum, demand.values()))
-        if kind == "silent" or self.goodput is None:
-            return dict.fromkeys(self.routes, full)
         jam = self.load > THROTTLE or self.answering < CALM
+        if kind == "silent" or self.limit is None and not jam:
+            return dict.fromkeys(self.routes, full)
         if self.limit is None:
-            self.limit = self.floor = self.goodput if jam else None
+            tries, dropped = self.ended.sums(self.bucket)
+            self.limit = self.least = (tries - dropped) / (RING * self.period_us)
+            self.limit_us = self.now + 2 * TICK_US
         elif jam and self.now >= self.limit_us:
-            self.limit = max(THROTTLE_LEAST * self.floor, THROTTLE_PART * self.limit)
+            self.limit = max(THROTTLE_LEAST * self.least, THROTTLE_PART * self.limit)
+            self.limit_us = self.now + 2 * TICK_US
         elif not jam:
             self.limit *= THROTTLE_RISE
-            if self.limit > THROTTLE_RISE * total:
-                self.limit = None
-        if jam and self.now >= self.limit_us:
-            self.limit_us = self.now + 2 * TICK_US
         levels, left = {}, self.limit
         for route in sorted(self.routes, key=lambda route: -self.get(f"routes.{route}.importance", 1)):
             wanted = sum(demand[route])
-            if left is None or wanted <= left:
+            if wanted <= left:
                 levels[route] = full
             elif kind == "ratio":
                 levels[route] = round(left / wanted, 2)
             else:
                 levels[route] = round(self.even(demand[route], left) * 1e6, 1)
-            left = left and max(0.0, left - wanted)
+            left = max(0.0, left - wanted)
+        if self.limit > THROTTLE_RISE * total:
+            self.limit = None
         return levels
 
     @staticmethod
@@ -306,40 +373,7 @@
             limit -= want
         return max(wants)
 
-    def ease(self):
-        """Once a tick the machine type, or else the one server, that is overrun most gets a step less."""
-        cost, kinds = {}, {}
-        for held in self.servers.values():
-            tries, dropped, took = held.ring.sums(self.bucket)
-            if self.warm(held) and not held.eject_until and held.back_us is None and tries >= OVERRUN_TRIES:
-                cost[held] = (took + dropped * self.slo_us * 2) / tries
-                kinds.setdefault(held.entry.machine, []).append(cost[held])
-        kinds = {kind: sum(costs) / len(costs) for kind, costs in kinds.items() if len(costs) > 1}
-        if len(kinds) > 1:
-            worst, best = max(kinds, key=kinds.get), min(kinds, key=kinds.get)
-            if kinds[worst] > max(OVERRUN_TIME * kinds[best], OVERRUN_SLO * self.slo_us):
-                part = self.kinds.get(worst, 1.0)
-                self.kinds[worst] = max(LEAST_HEALTH, part - EASE)
-                for held in cost:
-                    held.deaf_us = self.now + 2 * self.period_us
-                    held.ring = Ring(3)
-                return
-        middle = median(cost.values()) if cost else 0
-        worst = max(cost, key=cost.get, default=None)
-        bound = max(OVERRUN_TIME * middle, OVERRUN_SLO * self.slo_us)
-        if worst and cost[worst] > bound and worst.health > LEAST_HEALTH:
-            worst.health -= EASE
-            worst.healthy_us = self.now + OVERRUN_TICKS * TICK_US
-            worst.deaf_us = self.now + 2 * self.period_us
-            worst.ring = Ring(3)
-        for held in cost:
-            if held.health < 1 and self.now >= held.healthy_us and cost[held] < middle:
-                held.health += EASE
-                held.healthy_us = self.now + OVERRUN_TICKS * TICK_US
-
-    def waiting(self):
-        """Lines that may still wait in the channel: those of every message that no proxy has answered."""
-        return sum(lines for proxy in self.proxies.values() for _, lines in proxy.unread)
+    # The channel
 
     def tokens(self, proxy):
         """Messages that may go to a proxy now: a small burst, then evenly, the cap in any span at most."""
@@ -356,42 +390,25 @@
 
     def lay(self):
         """Write what changed: withdrawals at once, ramp steps by the tick, binds as the queue allows."""
-        room = self.get("proxies.pending_max", 1e9) - self.waiting()
-        spare = room - (1 - ROOM) * self.get("proxies.pending_max", 1e9)
-        head = self.get("proxies.head", 0) + 1
-        most = min((self.tokens(proxy) for proxy in self.proxies.values()), default=2.0)
-        calm = spare > 0 and most >= 2
-        tick = calm and self.now >= self.next_tick
-        if tick:
-            self.next_tick = self.now + TICK_US
-            self.ease()
-        changes = []
-        if tick or not self.said:
-            levels = self.admit()
-            for route in self.routes:
-                said = levels[route], self.retry(route)
-                if self.said.get(route) != said:
-                    self.said[route] = said
-                    changes.append(api.Admit(TABLE, 1 << route, *said))
+        pending, head = self.get("proxies.pending_max", 1e9), self.get("proxies.head", 0) + 1
+        waiting = sum(lines for proxy in self.proxies.values() for _, lines in proxy.unread)
+        spare = ROOM * pending - waiting
+        least = min((self.tokens(proxy) for proxy in self.proxies.values()), default=2.0)
+        tick = spare > 0 and least >= 2 and self.now >= self.next_tick
+        changes = self.tick() if tick else []
         for address, held in self.servers.items():
-            if tick and held.eject_until and self.now >= held.eject_until:
-                held.eject_until, held.back_us = 0, self.now
-                held.ring = Ring(3)
             part = self.percentage(held)
-            if held.back_us is not None and part >= held.health * self.kinds.get(held.entry.machine, 1.0):
-                held.back_us = None
             if part <= 0:
-                if not held.shut and most >= 1:
+                if not held.shut and least >= 1:
                     changes.append(api.Withdraw(address, True))
                     held.shut = True
-                if held.state == GONE and held.laid and most >= 1:
+                if held.state == GONE and held.laid and least >= 1:
                     changes.append(api.SetLine(TABLE, address, 0.0))
                     held.laid = 0.0
             elif tick:
-                weight = held.entry.weight * part
-                if weight != held.laid:
-                    changes.append(api.SetLine(TABLE, address, weight))
-                    held.laid = weight
+                if held.entry.weight * part != held.laid:
+                    held.laid = held.entry.weight * part
+                    changes.append(api.SetLine(TABLE, address, held.laid))
                 if held.shut:
                     changes.append(api.Withdraw(address, False))
                     held.shut = False
@@ -400,11 +417,10 @@
         cost = {number: (len(changes) if proxy.bound else shutting) + head
                 for number, proxy in self.proxies.items() if (changes if proxy.bound else shutting)}
         spare -= sum(cost.values())
-        table = sum(1 for held in self.servers.values() if held.laid)
-        shut = sum(1 for held in self.servers.values() if held.shut)
+        lines = head + 1 + len(self.routes)
+        lines += sum((held.laid > 0) + held.shut for held in self.servers.values())
         for number, proxy in sorted(self.proxies.items(), key=lambda item: (-item[1].rate, item[0])):
-            lines = head + 1 + table + shut + len(self.routes)
-            if not proxy.bound and table and spare >= lines and self.tokens(proxy) >= 1:
+            if not proxy.bound and spare >= lines and self.tokens(proxy) >= 1:
                 self.orders.append(api.Bind(TABLE, api.ALL_ROUTES, number))
                 proxy.bound = True
                 cost[number] = cost.get(number, 0) + lines
@@ -418,6 +434,20 @@
                 if proxy.tokens is not None:
                     proxy.tokens -= 1
 
+    def tick(self):
+        """What is looked at once a tick; the changes of levels that come of it."""
+        self.next_tick = self.now + TICK_US
+        for held in self.servers.values():
+            self.revive(held)
+        self.ease()
+        changes, levels = [], self.levels()
+        for route in self.routes:
+            said = levels[route], api.NO_RETRY if self.load > JAM else api.ON_PROOF
+            if self.said.get(route) != said:
+                self.said[route] = said
+                changes.append(api.Admit(TABLE, 1 << route, *said))
+        return changes
+
     def keep_slices(self):
         """Slices stay where they are; one that has lost its server goes to another, by weight and chance."""
         usable = [(address, held) for address, held in self.servers.items() if self.percentage(held) > 0]
@@ -426,7 +456,7 @@
             if shut != held.shut:
                 self.orders.append(api.Withdraw(address, shut))
                 held.shut = shut
-        for number, lines in self.lines.items():
+        for number, lines in self.slices.items():
             lost = [a for a in lines if a not in self.servers or self.servers[a].state != READY]
             if usable and len(lost) == len(lines):
                 heir = max(usable, key=lambda item: self.score(number, item))[0]
