--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -44,6 +44,8 @@
 OVERRUN_TRIES = 10  # fewer tries than this do not show that a server is overrun
 OVERRUN_TIME, OVERRUN_SLO = 1.6, 0.5  # its time is so much longer than the fleet's, and this part of the SLO
 EASE, EASE_LEAST = 0.125, 0.3  # then it gets so much less, but this at least
+OVERRUN_SURE, EASE_US = 3, TICK_US // 2
+EASE_MOST, EASE_POWER = 0.5, 0.5
 EASE_TICKS = 4  # for this many ticks
 
 THROTTLE = 0.5  # from this middle time on, as a part of the SLO time, calls are throttled
@@ -181,7 +183,7 @@
             took = (event.tries - event.dropped) * event.mean_us
             held.drops.add(self.bucket, event.tries, event.dropped, took)
             if self.now >= max(held.eased_us, self.settled_us):
-                held.times.add(self.bucket, event.tries, event.dropped, took)
+                held.times.add(self.now // EASE_US, event.tries, event.dropped, took)
             held.heard_us, self.reported = self.now, True
 
     def called(self, event):
@@ -292,7 +294,7 @@
         """
         cost, kinds = {}, {}
         for held in self.servers.values():
-            tries, dropped, took = held.times.sums(self.bucket)
+            tries, dropped, took = held.times.sums(self.now // EASE_US)
             steady = not held.eject_until and held.back_us is None and held.trial_us is None
             if self.warm(held) and steady and tries >= OVERRUN_TRIES:
                 cost[held] = (took + dropped * self.slo_us * 2) / tries
@@ -302,20 +304,26 @@
         worst, best = max(kinds, key=kinds.get, default=None), min(kinds, key=kinds.get, default=None)
         if worst is not None and kinds[worst] > max(OVERRUN_TIME * kinds[best], bad):
             if self.kinds.get(best, 1.0) < 1:
-                self.kinds[best] += EASE
+                self.kinds[best] = min(1.0, self.kinds[best] + EASE)
             else:
-                self.kinds[worst] = max(EASE_LEAST, self.kinds.get(worst, 1.0) - EASE)
+                step = max(EASE_MOST, (kinds[best] / kinds[worst]) ** EASE_POWER)
+                self.kinds[worst] = max(EASE_LEAST, self.kinds.get(worst, 1.0) * step)
             self.settled_us = self.now + SILENT_PERIODS * self.period_us
             for held in cost:
                 held.times = Ring(3)
             return
-        middle, worst = median(cost.values() or [0]), max(cost, key=cost.get, default=None)
-        if worst and cost[worst] > max(OVERRUN_TIME * middle, bad) and worst.health > EASE_LEAST:
-            worst.health -= EASE
+        middle = median(cost.values() or [0])
+        sure = {held: held.times.sums(self.now // EASE_US)[0] ** -0.5 for held in cost}
+        worst = max(cost, key=lambda held: cost[held] / (1 + OVERRUN_SURE * sure[held]), default=None)
+        if worst and worst.health > EASE_LEAST and cost[worst] > max(
+            middle * max(OVERRUN_TIME, 1 + OVERRUN_SURE * sure[worst]), bad
+        ):
+            step = max(EASE_MOST, (middle / cost[worst]) ** EASE_POWER)
+            worst.health = max(EASE_LEAST, worst.health * step)
             worst.eased_us, worst.times = self.now + SILENT_PERIODS * self.period_us, Ring(3)
         for held in cost:
             if held.health < 1 and cost[held] < middle and self.now >= held.eased_us + EASE_TICKS * TICK_US:
-                held.health += EASE
+                held.health = min(1.0, held.health + EASE)
                 held.eased_us = self.now
 
     # Levels and retries
