--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -45,7 +45,7 @@
 OVERRUN_TIME, OVERRUN_SLO = 1.6, 0.5  # its time is so much longer than the fleet's, and this part of the SLO
 EASE, EASE_LEAST = 0.125, 0.3  # then it gets so much less, but this at least
 OVERRUN_SURE, EASE_US = 3, TICK_US // 2
-EASE_MOST, EASE_POWER = 0.5, 0.5
+EASE_MOST, EASE_POWER, SETTLE_TICKS = 0.5, 0.33, 2
 EASE_TICKS = 4  # for this many ticks
 
 THROTTLE = 0.5  # from this middle time on, as a part of the SLO time, calls are throttled
@@ -308,7 +308,7 @@
             else:
                 step = max(EASE_MOST, (kinds[best] / kinds[worst]) ** EASE_POWER)
                 self.kinds[worst] = max(EASE_LEAST, self.kinds.get(worst, 1.0) * step)
-            self.settled_us = self.now + SILENT_PERIODS * self.period_us
+            self.settled_us = self.now + SETTLE_TICKS * TICK_US
             for held in cost:
                 held.times = Ring(3)
             return
@@ -320,7 +320,7 @@
         ):
             step = max(EASE_MOST, (middle / cost[worst]) ** EASE_POWER)
             worst.health = max(EASE_LEAST, worst.health * step)
-            worst.eased_us, worst.times = self.now + SILENT_PERIODS * self.period_us, Ring(3)
+            worst.eased_us, worst.times = self.now + SETTLE_TICKS * TICK_US, Ring(3)
         for held in cost:
             if held.health < 1 and cost[held] < middle and self.now >= held.eased_us + EASE_TICKS * TICK_US:
                 held.health = min(1.0, held.health + EASE)
