--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -30,7 +30,7 @@
 ROOM = 0.5  # binds and ramp steps leave this part of the channel's queue to withdrawals
 BURST = 0.25  # of the messages that a proxy may be written, this part may go out at once
 
-CALM = 0.7  # a fleet that answers less than this share of its tries is in a jam
+DEEP, CALM = 0.35, 0.7  # a fleet that answers less than this share of its tries is in a jam, deep or not
 JAM = 0.75  # so is one whose middle time is this part of the SLO time: then nobody tries again
 
 EJECT_DROPS, EJECT_SHARE = 4, 0.3  # fewer drops, or a share less above the others', eject nobody,
@@ -42,11 +42,11 @@
 TRIAL, TRIAL_TRIES, TRIAL_TICKS = 0.25, 3, 1  # then it has this percentage, until so many tries or ticks
 
 OVERRUN_TRIES = 10  # fewer tries than this do not show that a server is overrun
-OVERRUN_TIME, OVERRUN_SLO = 1.6, 0.5  # its time is so much longer than the fleet's, and this part of the SLO
+OVERRUN_TIME, OVERRUN_SLO = 1.6, 0.6  # its time is so much longer than the fleet's, and this part of the SLO
 EASE, EASE_LEAST = 0.125, 0.3  # then it gets so much less, but this at least
 OVERRUN_SURE, EASE_US = 3, TICK_US // 2
 EASE_MOST, EASE_POWER, SETTLE_TICKS = 0.5, 0.33, 2
-EASE_TICKS = 4  # for this many ticks
+EASE_TICKS = 8  # for this many ticks
 
 THROTTLE = 0.5  # from this middle time on, as a part of the SLO time, calls are throttled
 THROTTLE_PART, THROTTLE_RISE, THROTTLE_LEAST = 0.9, 1.1, 0.6  # what is let in falls and rises so; its least
@@ -103,7 +103,7 @@
     def step(self, now, events):
         """Take what happened, return what to do."""
         self.now, self.orders = now, []
-        if type(events[0]) is api.Started:
+        if events and type(events[0]) is api.Started:
             self.start(events[0])
         self.bucket = now // self.period_us
         for event in events:
@@ -133,6 +133,7 @@
         self.slo_us = min((self.get(f"routes.{route}.slo_time_us", 1) for route in self.routes), default=1)
         self.ended, self.reported = Ring(2), False  # tries that ended anywhere, dropped ones
         self.load, self.answering = 0.0, 1.0  # middle time over SLO time; share answered
+        self.whole = 1.0  # the part of the warm servers' weight that is in use
         self.kinds, self.settled_us = {}, 0  # the part of machine types that are eased
         self.limit, self.limit_us = None, 0  # calls a microsecond that are let in
         self.said = {}  # by route: level and way to retry, as proxies were told
@@ -214,11 +215,14 @@
         old = not started or self.now - started >= self.get("rules.warm_after_us", 0)
         return held.state == READY and old
 
+    def eased(self, held):
+        return held.health * self.kinds.get(held.entry.machine, 1.0)
+
     def percentage(self, held):
         """The design's ramp; and the cold guard: never more than a server just started surely can do."""
         if held.state != READY or held.eject_until:
             return 0.0
-        part = full = held.health * self.kinds.get(held.entry.machine, 1.0)
+        part = full = self.eased(held)
         if held.trial_us is not None:
             part = min(part, TRIAL)
         if held.back_us is not None:
@@ -231,7 +235,10 @@
             if self.answering < CALM and self.get("proxies.ejects_after", 0):
                 return 0.0
             least, age_us = self.get("rules.start_capacity", FIRST_STEP), self.now - held.entry.started_us
-            part = min(part, least + (1 - least) * max(0, age_us) / self.get("rules.warm_after_us", 1))
+            # What the warm servers have lost by easing or ejection must not fall on the cold ones, and in a
+            # deep jam, with several times more calls than can be answered, they get a part of their part.
+            sure = least + (1 - least) * max(0, age_us) / self.get("rules.warm_after_us", 1)
+            part = min(part, sure * self.whole * min(1.0, self.answering / DEEP))
         return part
 
     # Health
@@ -404,6 +411,9 @@
         least = min((self.tokens(proxy) for proxy in self.proxies.values()), default=2.0)
         tick = spare > 0 and least >= 2 and self.now >= self.next_tick
         changes = self.tick() if tick else []
+        warm = [held for held in self.servers.values() if self.warm(held)]
+        left = sum(held.entry.weight * self.eased(held) for held in warm if not held.eject_until)
+        self.whole = left / max(1e-9, sum(held.entry.weight for held in warm))
         for address, held in self.servers.items():
             part = self.percentage(held)
             if part <= 0:
