--- a/tests/play.py
+++ b/tests/play.py
@@ -42,7 +42,8 @@
         old = self.listed.get(name)
         started = self.now if state == "new" else old.started_us if old else 0
         zone = old.zone if old else len(self.listed) % 2
-        self.listed[name] = api.Server(float(weight or 1), zone, started, name.isupper(), 0, name, STATES[state])
+        fields = float(weight or 1), zone, started, name.isupper(), 0, name, STATES[state]
+        self.listed[name] = api.Server(*fields)
         return self.listed[name]
 
     def event(self, verb, *words):
