The throttle limit follows the joined proxies and rises faster in calm

Cause, from the log: one director died, its proxies joined the other, whose limit stayed at its own share of before; told from a real jam by the fleet's quick answers.

--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -135,7 +135,7 @@
         self.load, self.answering = 0.0, 1.0  # middle time over SLO time; share answered
         self.whole = 1.0  # the part of the warm servers' weight that is in use
         self.kinds, self.settled_us = {}, 0  # the part of machine types that are eased
-        self.limit, self.limit_us = None, 0  # calls a microsecond that are let in
+        self.limit, self.limit_us = None, 0  # calls let in, for each call that proxies usually get
         self.said = {}  # by route: level and way to retry, as proxies were told
         if self.get("discovery", "pushed") == "on_request":
             self.orders.append(api.Subscribe(True))
@@ -339,7 +339,8 @@
         """By route, what is let in: in a jam no more than gets answered, the most important routes first.
 
         It guards against jams that clients' repeats keep alive, whatever began them. What is let in never
-        goes under a part of what was answered at the start, as fewer calls also mean fewer answers.
+        goes under a part of what was answered at the start, as fewer calls also mean fewer answers. It is a
+        ratio to the usual calls of the joined proxies, as those of a dead director may join.
         """
         kind = self.get("proxies.admit", "silent")
         full = 1.0 if kind == "ratio" else 1e6
@@ -349,19 +350,20 @@
                 calls, span_us = ring.sums(self.bucket)
                 demand[route].append(calls / max(1, span_us))
         total = sum(map(sum, demand.values()))
-        jam = self.load > THROTTLE or self.answering < CALM
+        usual = sum(proxy.rate for proxy in self.proxies.values()) or 1.0
+        jam = self.load > (THROTTLE if self.answering > CALM else THROTTLE / 2)
         if kind == "silent" or self.limit is None and not jam:
             return dict.fromkeys(self.routes, full)
         if self.limit is None:
             tries, dropped = self.ended.sums(self.bucket)
-            self.limit = self.least = (tries - dropped) / (RING * self.period_us)
+            self.limit = self.least = (tries - dropped) / (RING * self.period_us) / usual
             self.limit_us = self.now + 2 * TICK_US
         elif jam and self.now >= self.limit_us:
             self.limit = max(THROTTLE_LEAST * self.least, THROTTLE_PART * self.limit)
             self.limit_us = self.now + 2 * TICK_US
         elif not jam:
-            self.limit *= THROTTLE_RISE
-        levels, left = {}, self.limit
+            self.limit *= THROTTLE_RISE if self.load > THROTTLE / 2 else THROTTLE_RISE ** 3
+        levels, left = {}, self.limit * usual
         for route in sorted(self.routes, key=lambda route: -self.get(f"routes.{route}.importance", 1)):
             wanted = sum(demand[route])
             if wanted <= left:
@@ -371,7 +373,7 @@
             else:
                 levels[route] = round(self.even(demand[route], left) * 1e6, 1)
             left = max(0.0, left - wanted)
-        if self.limit > THROTTLE_RISE * total:
+        if self.limit * usual > THROTTLE_RISE * total:
             self.limit = None
         return levels
 
