--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -247,7 +247,7 @@
         """Eject what drops beyond chance, or falls silent, beside the rest; a shared trouble ejects nobody.
 
         It guards against servers that fail fast, hang or vanish long before the list says so, whatever the
-        cause. In a jam every server drops and is slow: then only what answers nothing at all is ejected.
+        cause. In a jam a full server and a dead one look alike, and each one less deepens it: nobody goes.
         """
         self.reported = False
         ready = [held for held in self.servers.values() if self.warm(held)]
@@ -275,7 +275,8 @@
             due = held.laid / max(laid, 1e-9) * all_tries * quiet_us / (RING * self.period_us)
             if quiet_us > SILENT_PERIODS * gap_us and due > SILENT_TRIES and not self.jam():
                 failing = dead = True
-            if failing and out + held.entry.weight <= weight * (DEAD_MOST if dead else EJECT_MOST):
+            most = 0 if self.load > JAM else DEAD_MOST if dead else EJECT_MOST
+            if failing and out + held.entry.weight <= weight * most:
                 out += held.entry.weight
                 held.eject_until = self.now + HOLD_TICKS * TICK_US * 2 ** min(held.relapses, 3)
                 held.relapses, held.trial_us, held.back_us = held.relapses + 1, None, None
