Ejected servers are used again when nothing else is left; design, on-call, incidents

They are let back at once, and a server that comes when there is no line is laid in the same batch instead of at the tick. Could send calls to broken servers when only those are left: any line beats none.

--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -412,9 +412,14 @@
         waiting = sum(lines for proxy in self.proxies.values() for _, lines in proxy.unread)
         spare = ROOM * pending - waiting
         least = min((self.tokens(proxy) for proxy in self.proxies.values()), default=2.0)
-        tick = spare > 0 and least >= 2 and self.now >= self.next_tick
-        changes = self.tick() if tick else []
         warm = [held for held in self.servers.values() if self.warm(held)]
+        if all(held.eject_until for held in warm):  # the rest has left the list since: any line beats none
+            for held in warm:
+                held.eject_until = 0
+        usable = [held for held in self.servers.values() if self.percentage(held) > 0]
+        bare = usable and all(held.shut or not held.laid for held in usable)
+        tick = least >= 1 if bare else spare > 0 and least >= 2 and self.now >= self.next_tick
+        changes = self.tick() if tick else []
         left = sum(held.entry.weight * self.eased(held) for held in warm if not held.eject_until)
         self.whole = left / max(1e-9, sum(held.entry.weight for held in warm))
         for address, held in self.servers.items():
