--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -31,14 +31,14 @@
 BURST = 0.25  # of the messages that a proxy may be written, this part may go out at once
 
 DEEP, CALM = 0.35, 0.7  # a fleet that answers less than this share of its tries is in a jam, deep or not
-JAM = 0.75  # so is one whose middle time is this part of the SLO time: then nobody tries again
+JAM = 0.6  # so is one whose middle time is this part of the SLO time: then nobody tries again
 
 EJECT_DROPS, EJECT_SHARE = 4, 0.3  # fewer drops, or a share less above the others', eject nobody,
 SURE = 3.0  # nor does an excess of fewer standard deviations
 QUICK = 2  # what answers the rest within this multiple of the fleet's time is broken, not overrun
 SILENT_TRIES, SILENT_PERIODS = 8, 2  # silent: so many tries were due over so many periods, and none ended
 EJECT_MOST, DEAD_MOST = 0.34, 0.6  # parts of the listed weight: ejected at most; and if it answers nothing
-HOLD_TICKS = 2  # an ejection lasts this many ticks, twice as many after each relapse
+HOLD_TICKS = 1  # an ejection lasts this many ticks, twice as many after each relapse
 TRIAL, TRIAL_TRIES, TRIAL_TICKS = 0.25, 3, 1  # then it has this percentage, until so many tries or ticks
 
 OVERRUN_TRIES = 10  # fewer tries than this do not show that a server is overrun
