--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -24,6 +24,7 @@
 TICK_US = 2_000_000  # the design's tick
 BEAT_US = TICK_US // 8  # how often what was put off is looked at again
 FIRST_STEP, STEP = 0.25, 0.25  # back from a drain or an ejection: the first percentage, the points per tick
+RECENT = 2  # buckets that tell how things are now
 RING = 4  # buckets of evidence, each as long as the reports' period
 TABLE = 0
 
@@ -66,9 +67,11 @@
         for column, value in enumerate(values):
             cell[column] += value
 
-    def sums(self, bucket):
+    def sums(self, bucket, last=RING):
+        """The sums over the last buckets, that of now included."""
         self.add(bucket)
-        return [sum(column) for column in zip(*self.cells, strict=True)]
+        cells = [self.cells[number % RING] for number in range(bucket - last + 1, bucket + 1)]
+        return [sum(column) for column in zip(*cells, strict=True)]
 
 
 class State:
@@ -254,10 +257,13 @@
         seen = {held: held.drops.sums(self.bucket) for held in ready if not held.eject_until}
         all_tries = sum(tries for tries, _, _ in seen.values())
         all_dropped = sum(dropped for _, dropped, _ in seen.values())
-        self.answering = 1 - all_dropped / max(all_tries, EJECT_DROPS)
+        late, missed = self.ended.sums(self.bucket, RECENT)
+        self.answering = 1 - missed / max(late, EJECT_DROPS)
         means = {held: took / (tries - lost) for held, (tries, lost, took) in seen.items() if tries > lost}
         middle = median(means.values() or [0])
-        self.load = middle / self.slo_us
+        recent = [held.drops.sums(self.bucket, RECENT) for held in seen]
+        now = [took / (tries - lost) for tries, lost, took in recent if tries > lost]
+        self.load = median(now or [0]) / self.slo_us
         gap_us = median([self.now - held.heard_us for held in seen] or [0]) + self.period_us
         weight, laid = sum(held.entry.weight for held in ready), sum(held.laid for held in seen)
         out = weight - sum(held.entry.weight for held in seen)
