--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -10,7 +10,7 @@
 2. Cold guard: the percentage of a server that started lately follows its listed start time.
 3. Ejection on evidence: a server that drops beyond chance or falls silent is shut out; back on trial.
 4. Easing: a machine type or a server that is overrun beside the rest gets a lower percentage.
-5. Retries on proof that the first try never ran, on every route; none while the fleet is in a jam.
+5. No retries by proxies: 'full' is proof too, and such a try feeds the jam that refused it.
 6. Throttling: where levels are obeyed, a jammed fleet gets no more calls than it answers.
 """
 
@@ -32,7 +32,7 @@
 BURST = 0.25  # of the messages that a proxy may be written, this part may go out at once
 
 DEEP, CALM = 0.35, 0.7  # a fleet that answers less than this share of its tries is in a jam, deep or not
-JAM = 0.6  # so is one whose middle time is this part of the SLO time: then nobody tries again
+JAM = 0.6  # so is one whose middle time is this part of the SLO time
 
 EJECT_DROPS, EJECT_SHARE = 4, 0.3  # fewer drops, or a share less above the others', eject nobody,
 SURE = 3.0  # nor does an excess of fewer standard deviations
@@ -474,7 +474,7 @@
         self.ease()
         changes, levels = [], self.levels()
         for route in self.routes:
-            said = levels[route], api.NO_RETRY if self.load > JAM else api.ON_PROOF
+            said = levels[route], api.NO_RETRY
             if self.said.get(route) != said:
                 self.said[route] = said
                 changes.append(api.Admit(TABLE, 1 << route, *said))
