--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -44,10 +44,10 @@
 
 OVERRUN_TRIES = 10  # fewer tries than this do not show that a server is overrun
 OVERRUN_TIME, OVERRUN_SLO = 1.6, 0.6  # its time is so much longer than the fleet's, and this part of the SLO
-EASE, EASE_LEAST = 0.125, 0.3  # then it gets so much less, but this at least
-OVERRUN_SURE, EASE_US = 3, TICK_US // 2
-EASE_MOST, EASE_POWER, SETTLE_TICKS = 0.5, 0.33, 2
-EASE_TICKS = 8  # for this many ticks
+OVERRUN_SURE, EASE_US = 3, TICK_US // 2  # standard errors beyond chance; the buckets of that evidence
+EASE_POWER, EASE_MOST, EASE_LEAST = 0.33, 0.5, 0.3  # the root of that ratio is taken; a step at most; in all
+SETTLE_TICKS = 2  # after a step, before what is heard counts again
+EASE_TICKS, EASE_BACK = 8, 0.125  # then, under the fleet's middle for so long, it climbs by so much
 
 THROTTLE = 0.5  # from this middle time on, as a part of the SLO time, calls are throttled
 THROTTLE_PART, THROTTLE_RISE, THROTTLE_LEAST = 0.9, 1.1, 0.6  # what is let in falls and rises so; its least
@@ -306,41 +306,41 @@
         It guards against listed weights that are wrong, for a type or for one server, and against anything
         that slows some servers. One at a time: easing all slow ones at once only moves the load to the next.
         """
-        cost, kinds = {}, {}
+        cost, chance, kinds = {}, {}, {}
         for held in self.servers.values():
             tries, dropped, took = held.times.sums(self.now // EASE_US)
             steady = not held.eject_until and held.back_us is None and held.trial_us is None
             if self.warm(held) and steady and tries >= OVERRUN_TRIES:
                 cost[held] = (took + dropped * self.slo_us * 2) / tries
+                chance[held] = 1 + OVERRUN_SURE * tries ** -0.5
                 kinds.setdefault(held.entry.machine, []).append(cost[held])
         kinds = {kind: sum(costs) / len(costs) for kind, costs in kinds.items() if len(costs) > 1}
         bad = OVERRUN_SLO * self.slo_us
         worst, best = max(kinds, key=kinds.get, default=None), min(kinds, key=kinds.get, default=None)
         if worst is not None and kinds[worst] > max(OVERRUN_TIME * kinds[best], bad):
             if self.kinds.get(best, 1.0) < 1:
-                self.kinds[best] = min(1.0, self.kinds[best] + EASE)
+                self.kinds[best] = min(1.0, self.kinds[best] + EASE_BACK)
             else:
-                step = max(EASE_MOST, (kinds[best] / kinds[worst]) ** EASE_POWER)
-                self.kinds[worst] = max(EASE_LEAST, self.kinds.get(worst, 1.0) * step)
+                self.kinds[worst] = self.step_down(self.kinds.get(worst, 1.0), kinds[best] / kinds[worst])
             self.settled_us = self.now + SETTLE_TICKS * TICK_US
             for held in cost:
                 held.times = Ring(3)
             return
         middle = median(cost.values() or [0])
-        sure = {held: held.times.sums(self.now // EASE_US)[0] ** -0.5 for held in cost}
-        worst = max(cost, key=lambda held: cost[held] / (1 + OVERRUN_SURE * sure[held]), default=None)
-        if worst and worst.health > EASE_LEAST and cost[worst] > max(
-            middle * max(OVERRUN_TIME, 1 + OVERRUN_SURE * sure[worst]), bad
-        ):
-            step = max(EASE_MOST, (middle / cost[worst]) ** EASE_POWER)
-            worst.health = max(EASE_LEAST, worst.health * step)
+        worst = max(cost, key=lambda held: cost[held] / chance[held], default=None)
+        if worst and cost[worst] > max(middle * max(OVERRUN_TIME, chance[worst]), bad):
+            worst.health = self.step_down(worst.health, middle / cost[worst])
             worst.eased_us, worst.times = self.now + SETTLE_TICKS * TICK_US, Ring(3)
         for held in cost:
             if held.health < 1 and cost[held] < middle and self.now >= held.eased_us + EASE_TICKS * TICK_US:
-                held.health = min(1.0, held.health + EASE)
+                held.health = min(1.0, held.health + EASE_BACK)
                 held.eased_us = self.now
 
-    # Levels and retries
+    @staticmethod
+    def step_down(part, ratio):
+        return max(EASE_LEAST, part * max(EASE_MOST, ratio ** EASE_POWER))
+
+    # Levels
 
     def levels(self):
         """By route, what is let in: in a jam no more than gets answered, the most important routes first.
