Cold servers get their part of what their eased type gets, less as load climbs

Its part is now that of its warm peers times what it surely can do, and falls from a middle time of a third of the fall multiple (in SLO times) and from half the tries answered on. The scaling by the weight in use is folded into this.

--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -31,7 +31,8 @@
 ROOM = 0.5  # binds and ramp steps leave this part of the channel's queue to withdrawals
 BURST = 0.25  # of the messages that a proxy may be written, this part may go out at once
 
-DEEP, CALM = 0.35, 0.7  # a fleet that answers less than this share of its tries is in a jam, deep or not
+DEEP_LOAD = 3  # cold servers get less from a middle time of a third of the fall multiple, in SLO times
+DEEP, CALM = 0.5, 0.7  # a fleet that answers less than this share of its tries is in a jam, deep or not
 JAM = 0.6  # so is one whose middle time is this part of the SLO time
 
 EJECT_DROPS, EJECT_SHARE = 4, 0.3  # fewer drops, or a share less above the others', eject nobody,
@@ -136,7 +137,6 @@
         self.slo_us = min((self.get(f"routes.{route}.slo_time_us", 1) for route in self.routes), default=1)
         self.ended, self.reported = Ring(2), False  # tries that ended anywhere, dropped ones
         self.load, self.answering = 0.0, 1.0  # middle time over SLO time; share answered
-        self.whole = 1.0  # the part of the warm servers' weight that is in use
         self.kinds, self.settled_us = {}, 0  # the part of machine types that are eased
         self.limit, self.limit_us = None, 0  # calls let in, for each call that proxies usually get
         self.said = {}  # by route: level and way to retry, as proxies were told
@@ -218,14 +218,11 @@
         old = not started or self.now - started >= self.get("rules.warm_after_us", 0)
         return held.state == READY and old
 
-    def eased(self, held):
-        return held.health * self.kinds.get(held.entry.machine, 1.0)
-
     def percentage(self, held):
         """The design's ramp; and the cold guard: never more than a server just started surely can do."""
         if held.state != READY or held.eject_until:
             return 0.0
-        part = full = self.eased(held)
+        part = full = held.health * self.kinds.get(held.entry.machine, 1.0)
         if held.trial_us is not None:
             part = min(part, TRIAL)
         if held.back_us is not None:
@@ -238,10 +235,10 @@
             if self.answering < CALM and self.get("proxies.ejects_after", 0):
                 return 0.0
             least, age_us = self.get("rules.start_capacity", FIRST_STEP), self.now - held.entry.started_us
-            # What the warm servers have lost by easing or ejection must not fall on the cold ones, and in a
-            # deep jam, with several times more calls than can be answered, they get a part of their part.
+            # In a deep jam, with several times more calls than can be answered, it gets a part of its part.
             sure = least + (1 - least) * max(0, age_us) / self.get("rules.warm_after_us", 1)
-            part = min(part, sure * self.whole * min(1.0, self.answering / DEEP))
+            most = self.get("rules.fall_multiple", DEEP_LOAD) / DEEP_LOAD
+            part = min(part, full * sure * min(1.0, self.answering / DEEP, most / max(self.load, most)))
         return part
 
     # Health
@@ -426,8 +423,6 @@
         bare = usable and all(held.shut or not held.laid for held in usable)
         tick = least >= 1 if bare else spare > 0 and least >= 2 and self.now >= self.next_tick
         changes = self.tick() if tick else []
-        left = sum(held.entry.weight * self.eased(held) for held in warm if not held.eject_until)
-        self.whole = left / max(1e-9, sum(held.entry.weight for held in warm))
         for address, held in self.servers.items():
             part = self.percentage(held)
             if part <= 0:
