--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -31,7 +31,7 @@
 ROOM = 0.5  # binds and ramp steps leave this part of the channel's queue to withdrawals
 BURST = 0.25  # of the messages that a proxy may be written, this part may go out at once
 
-DEEP_LOAD = 2  # cold servers get less from a middle time of half the fall multiple, in SLO times
+DEEP_LOAD = 2.7  # cold servers get less from this part of the fall multiple on, as middle time in SLO times
 DEEP, CALM = 0.35, 0.7  # a fleet that answers less than this share of its tries is in a jam, deep or not
 JAM = 0.6  # so is one whose middle time is this part of the SLO time
 
