Dead state and codes out, names that say what they hold; same figures

Read through after the last landing: an unused field, a retry mode kept beside every level though it never changes, names of two locals that said the opposite, wire codes used once.

--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -131,7 +131,7 @@
     def start(self, event):
         self.settings, self.seed = event.settings, event.seed
         self.servers, self.proxies, self.slices = {}, {}, {}
-        self.mark, self.next_tick, self.next_beat, self.wait_us = 0, self.now, self.now, 0
+        self.mark, self.next_tick, self.next_beat = 0, self.now, self.now
         self.period_us = self.get("proxies.report_every_us", TICK_US)
         self.routes = range(self.get("routes.count", 0))
         self.slo_us = min((self.get(f"routes.{route}.slo_time_us", 1) for route in self.routes), default=1)
@@ -139,7 +139,7 @@
         self.load, self.answering = 0.0, 1.0  # middle time over SLO time; share answered
         self.kinds, self.settled_us = {}, 0  # the part of machine types that are eased
         self.limit, self.limit_us = None, 0  # calls let in, for each call that proxies usually get
-        self.said = {}  # by route: level and way to retry, as proxies were told
+        self.said = {}  # levels by route, as proxies were told
         if self.get("discovery", "pushed") == "on_request":
             self.orders.append(api.Subscribe(True))
 
@@ -254,13 +254,13 @@
         seen = {held: held.drops.sums(self.bucket) for held in ready if not held.eject_until}
         all_tries = sum(tries for tries, _, _ in seen.values())
         all_dropped = sum(dropped for _, dropped, _ in seen.values())
-        late, missed = self.ended.sums(self.bucket, RECENT)
-        self.answering = 1 - missed / max(late, EJECT_DROPS)
+        lately, lost_lately = self.ended.sums(self.bucket, RECENT)
+        self.answering = 1 - lost_lately / max(lately, EJECT_DROPS)
         means = {held: took / (tries - lost) for held, (tries, lost, took) in seen.items() if tries > lost}
         middle = median(means.values() or [0])
         recent = [held.drops.sums(self.bucket, RECENT) for held in seen]
-        now = [took / (tries - lost) for tries, lost, took in recent if tries > lost]
-        self.load = median(now or [0]) / self.slo_us
+        times = [took / (tries - lost) for tries, lost, took in recent if tries > lost]
+        self.load = median(times or [0]) / self.slo_us
         gap_us = median([self.now - held.heard_us for held in seen] or [0]) + self.period_us
         weight, laid = sum(held.entry.weight for held in ready), sum(held.laid for held in seen)
         out = weight - sum(held.entry.weight for held in seen)
@@ -355,17 +355,17 @@
                 demand[route].append(calls / max(1, span_us))
         total = sum(map(sum, demand.values()))
         usual = sum(proxy.rate for proxy in self.proxies.values()) or 1.0
-        jam = self.load > (THROTTLE if self.answering > CALM else THROTTLE / 2)
-        if kind == "silent" or self.limit is None and not jam:
+        pressed = self.load > (THROTTLE if self.answering > CALM else THROTTLE / 2)
+        if kind == "silent" or self.limit is None and not pressed:
             return dict.fromkeys(self.routes, full)
         if self.limit is None:
             tries, dropped = self.ended.sums(self.bucket)
             self.limit = self.least = (tries - dropped) / (RING * self.period_us) / usual
             self.limit_us = self.now + 2 * TICK_US
-        elif jam and self.now >= self.limit_us:
+        elif pressed and self.now >= self.limit_us:
             self.limit = max(THROTTLE_LEAST * self.least, THROTTLE_PART * self.limit)
             self.limit_us = self.now + 2 * TICK_US
-        elif not jam:
+        elif not pressed:
             self.limit *= THROTTLE_RISE if self.load > THROTTLE / 2 else THROTTLE_RISE ** 3
         levels, left = {}, self.limit * usual
         for route in sorted(self.routes, key=lambda route: -self.get(f"routes.{route}.importance", 1)):
@@ -469,10 +469,9 @@
         self.ease()
         changes, levels = [], self.levels()
         for route in self.routes:
-            said = levels[route], api.NO_RETRY
-            if self.said.get(route) != said:
-                self.said[route] = said
-                changes.append(api.Admit(TABLE, 1 << route, *said))
+            if self.said.get(route) != levels[route]:
+                self.said[route] = levels[route]
+                changes.append(api.Admit(TABLE, 1 << route, levels[route], api.NO_RETRY))
         return changes
 
     def keep_slices(self):
--- a/rainpick/simhost/wire.py
+++ b/rainpick/simhost/wire.py
@@ -9,7 +9,7 @@
 ENTRY = struct.Struct(">fBQHH6sB")
 CODE = struct.Struct(">H")
 COUNT = struct.Struct(">I")
-LEAST_FRAME, MOST_FRAME = BATCH.size, 1 << 30
+MOST_FRAME = 1 << 30
 
 # Their words for settings, a dotted path piece by piece, and ours.
 WORDS = {
@@ -106,7 +106,7 @@
     if len(head) < BATCH.size:
         raise MalformedError(f"the input ends after {len(head)} bytes of a header")
     size, records, now = BATCH.unpack(head)
-    if not LEAST_FRAME <= size <= MOST_FRAME:
+    if not BATCH.size <= size <= MOST_FRAME:
         raise MalformedError(f"a frame cannot be {size} bytes long")
     body = pipe.read(size - BATCH.size)
     if len(body) < size - BATCH.size:
@@ -146,13 +146,13 @@
 BORN, PEER = struct.Struct(">IQI"), struct.Struct(">IHH")
 PROBED, HEARD = struct.Struct(">II6sB"), struct.Struct(">IB6sIIII")
 REGISTRY, DIRECTORY = struct.Struct(">IBIQ"), struct.Struct(">II")
-REGISTRY_CODE, DIRECTORY_CODE, DETACH_CODE, BORN_CODE = 1010, 1140, 1050, 1000
+REGISTRY_CODE, DIRECTORY_CODE = 1010, 1140
 READERS = {
-    BORN_CODE: born,
+    1000: born,
     1020: plain(">IQ", lambda who, label: (who, api.TimerDue(label))),
     1030: probe_ended,
     1040: peer_said,
-    DETACH_CODE: plain(">I", lambda who: (who, None)),
+    1050: plain(">I", lambda who: (who, None)),
     1060: plain(
         ">IBfHB", lambda who, on, rate, proxy, zone: (who, api.ProxyJoined(proxy, on != 0, rate, zone))
     ),
--- a/tests/play.py
+++ b/tests/play.py
@@ -54,7 +54,7 @@
             kind = {"cached": api.CACHED, "full": api.FULL, "list": api.DELTA}[verb]
             return api.Listed(kind, tuple(self.server(word) for word in words), 1)
         if verb == "join":
-            number, rate, zone = (*map(int, words), 1, 0)[:3] if len(words) < 3 else map(int, words)
+            number, rate, zone = (*map(int, words), *(1, 0)[len(words) - 1:])
             self.joined[number], self.writes[number] = None, []
             return api.ProxyJoined(number, True, float(rate), zone)
         if verb == "left":
