A throttle limit only from proxies joined for a whole window of reports

Now nothing is held back until some proxy has been joined for six report periods, and only such proxies count for the limit. Could let a jam last some seconds longer after a restart.

--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -94,8 +94,8 @@
 class Proxy:
     """What the director holds of one joined proxy."""
 
-    def __init__(self, event):
-        self.rate, self.bound = event.rate, False
+    def __init__(self, event, now):
+        self.rate, self.bound, self.joined_us = event.rate, False, now
         self.calls = {}  # by route: calls that came, and over how many microseconds
         self.unread = deque()  # (mark, lines) of messages not yet answered
         self.tokens, self.filled_us = None, 0  # messages that it may be written, and when that was counted
@@ -169,7 +169,7 @@
             self.orders.append(api.Subscribe(True))
 
     def joined(self, event):
-        self.proxies[event.proxy] = Proxy(event)
+        self.proxies[event.proxy] = Proxy(event, self.now)
 
     def left(self, event):
         self.proxies.pop(event.proxy, None)
@@ -359,8 +359,13 @@
         if kind == "silent" or self.limit is None and not pressed:
             return dict.fromkeys(self.routes, full)
         if self.limit is None:
+            # What joined lately has hardly been reported on: a limit from that would shut out nearly all.
+            since_us = self.now - (RING + RECENT) * self.period_us
+            known = sum(proxy.rate for proxy in self.proxies.values() if proxy.joined_us <= since_us)
+            if not known:
+                return dict.fromkeys(self.routes, full)
             tries, dropped = self.ended.sums(self.bucket)
-            self.limit = self.least = (tries - dropped) / (RING * self.period_us) / usual
+            self.limit = self.least = (tries - dropped) / (RING * self.period_us) / known
             self.limit_us = self.now + 2 * TICK_US
         elif pressed and self.now >= self.limit_us:
             self.limit = max(THROTTLE_LEAST * self.least, THROTTLE_PART * self.limit)
