Several shared tables of part of the fleet; lists that lie are doubted; room by the line

Cause at full size: one table of all servers opened a connection for nearly each call, a change reached every proxy at once (queue over its limit), and windows of reports held nothing of most servers.

Changes: where a proxy has too few calls to keep connections to all servers open, a director lays several tables (under one for six proxies), each of a balanced part of the fleet by machine type, refilled where it gets thin; a change is written when the queue has room for it; windows of evidence follow the time in which the reports come round (two buckets); several servers may be eased at once in a large fleet; where gone alone does not bind, what still answers stays.

--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -14,7 +14,8 @@
 6. Throttling: where levels are obeyed, a jammed fleet gets no more calls than it answers.
 """
 
-from collections import deque
+from collections import defaultdict, deque
+from math import ceil
 from statistics import median
 from zlib import crc32
 
@@ -24,9 +25,13 @@
 TICK_US = 2_000_000  # the design's tick
 BEAT_US = TICK_US // 8  # how often what was put off is looked at again
 FIRST_STEP, STEP = 0.25, 0.25  # back from a drain or an ejection: the first percentage, the points per tick
-RECENT = 2  # buckets that tell how things are now
-RING = 4  # buckets of evidence, each as long as the reports' period
-TABLE = 0
+RING, RECENT = 4, 2  # buckets of evidence; of how things are now: the time in which every line is reported
+MISSING = 3  # the list dropped it, yet it need not be withdrawn
+
+SHARERS = 6  # proxies to a table at least, or there is one for all
+USES = 4  # calls that a proxy has for each line within the time that an idle connection lasts
+COPIES = 2  # tables that hold a server, at least
+THIN = 0.5  # a table with less of the mean of usable weight gets more servers
 
 ROOM = 0.5  # binds and ramp steps leave this part of the channel's queue to withdrawals
 BURST = 0.25  # of the messages that a proxy may be written, this part may go out at once
@@ -35,17 +40,17 @@
 DEEP, CALM = 0.35, 0.7  # a fleet that answers less than this share of its tries is in a jam, deep or not
 JAM = 0.6  # so is one whose middle time is this part of the SLO time
 
-EJECT_DROPS, EJECT_SHARE = 4, 0.3  # fewer drops, or a share less above the others', eject nobody,
-SURE = 3.0  # nor does an excess of fewer standard deviations
+EJECT_DROPS, EJECT_SHARE, SURE = 4, 0.3, 3  # drops, share above the others', deviations that eject
 QUICK = 2  # what answers the rest within this multiple of the fleet's time is broken, not overrun
 SILENT_TRIES, SILENT_PERIODS = 8, 2  # silent: so many tries were due over so many periods, and none ended
 EJECT_MOST, DEAD_MOST = 0.34, 0.6  # parts of the listed weight: ejected at most; and if it answers nothing
 HOLD_TICKS = 1  # an ejection lasts this many ticks, twice as many after each relapse
-TRIAL, TRIAL_TRIES, TRIAL_TICKS = 0.25, 3, 1  # then it has this percentage, until so many tries or ticks
+TRIAL, TRIAL_TRIES, TRIAL_TICKS = FIRST_STEP, 3, 1  # then it has this percentage, until so many tries or ticks
 
 OVERRUN_TRIES = 10  # fewer tries than this do not show that a server is overrun
 OVERRUN_TIME, OVERRUN_SLO = 1.6, 0.6  # its time is so much longer than the fleet's, and this part of the SLO
-OVERRUN_SURE, EASE_US = 3, TICK_US // 2  # standard errors beyond chance; the buckets of that evidence
+OVERRUN_SURE, EASE_US = 3, TICK_US // 2  # standard errors beyond chance; the least buckets of that evidence
+EASE_MANY = 0.06  # the part of the servers that may be eased at once, one at least
 EASE_POWER, EASE_MOST, EASE_LEAST = 0.33, 0.5, 0.3  # the root of that ratio is taken; a step at most; in all
 SETTLE_TICKS = 2  # after a step, before what is heard counts again
 EASE_TICKS, EASE_BACK = 8, 0.125  # then, under the fleet's middle for so long, it climbs by so much
@@ -80,7 +85,8 @@
 
     def __init__(self, entry):
         self.entry, self.state = entry, GONE
-        self.shut, self.laid = False, 0.0  # as proxies were told
+        self.shut, self.told, self.part = False, {}, 0.0  # as proxies were told: weight by table; percentage
+        self.tables = []  # that hold it
         self.drops, self.times = Ring(3), Ring(3)  # tries, dropped ones, microseconds of the answered ones
         self.fresh()
 
@@ -91,14 +97,22 @@
         self.health, self.eased_us = 1.0, 0
 
 
+class Table:
+    """A table that many proxies share."""
+
+    def __init__(self, number):
+        self.number, self.proxies, self.said = number, {}, {}  # who is bound; levels by route, as told
+        self.rate, self.lines = 0.0, 0  # calls that its proxies usually get; lines for each in this step
+
+
 class Proxy:
     """What the director holds of one joined proxy."""
 
     def __init__(self, event, now):
-        self.rate, self.bound, self.joined_us = event.rate, False, now
+        self.number, self.rate, self.table, self.joined_us = event.proxy, event.rate, None, now
         self.calls = {}  # by route: calls that came, and over how many microseconds
         self.unread = deque()  # (mark, lines) of messages not yet answered
-        self.tokens, self.filled_us = None, 0  # messages that it may be written, and when that was counted
+        self.tokens, self.filled_us = 1e9, now  # messages that it may be written, and when that was counted
 
 
 class Director:
@@ -109,20 +123,19 @@
         self.now, self.orders = now, []
         if events and type(events[0]) is api.Started:
             self.start(events[0])
-        self.bucket = now // self.period_us
+        self.bucket = now // self.bucket_us
         for event in events:
             hear = self.HEAR.get(type(event))
             if hear:
                 hear(self, event)
-        if self.reported:
-            self.judge()
         if now >= self.next_beat:
-            self.next_beat = now + BEAT_US
+            self.next_beat, self.urgent = now + BEAT_US, True
             self.orders.append(api.SetTimer(0, BEAT_US))
-        if self.get("proxies.slices", 0):
-            self.keep_slices()
-        else:
-            self.lay()
+        if self.reported:
+            self.judge()
+        if self.urgent:
+            self.urgent = False
+            (self.keep_slices if self.get("proxies.slices", 0) else self.lay)()
         return self.orders
 
     def get(self, name, default):
@@ -131,54 +144,76 @@
     def start(self, event):
         self.settings, self.seed = event.settings, event.seed
         self.servers, self.proxies, self.slices = {}, {}, {}
-        self.mark, self.next_tick, self.next_beat = 0, self.now, self.now
-        self.period_us = self.get("proxies.report_every_us", TICK_US)
+        self.tables, self.homes, self.loose, self.due = [], {}, Table(None), []
+        self.copies, self.ease_us = 1, EASE_US  # tables that hold a server; buckets of what eases
+        self.mark, self.next_tick, self.next_beat, self.waiting = 0, self.now, self.now, 0
+        self.period_us = self.bucket_us = self.get("proxies.report_every_us", TICK_US)
         self.routes = range(self.get("routes.count", 0))
         self.slo_us = min((self.get(f"routes.{route}.slo_time_us", 1) for route in self.routes), default=1)
         self.ended, self.reported = Ring(2), False  # tries that ended anywhere, dropped ones
         self.load, self.answering = 0.0, 1.0  # middle time over SLO time; share answered
         self.kinds, self.settled_us = {}, 0  # the part of machine types that are eased
         self.limit, self.limit_us = None, 0  # calls let in, for each call that proxies usually get
-        self.said = {}  # levels by route, as proxies were told
         if self.get("discovery", "pushed") == "on_request":
             self.orders.append(api.Subscribe(True))
 
     # What is heard
 
     def listed(self, event):
+        self.urgent = True
         if event.kind == api.FAILED:
-            self.orders.append(api.SetTimer(1, TICK_US))
-            return
+            return self.orders.append(api.SetTimer(1, TICK_US))
         for entry in event.servers:
             held = self.servers.get(entry.address)
             if held is None:
                 held = self.servers[entry.address] = State(entry)
+            if entry.state == GONE:
+                self.drop(held)
+                continue
             if entry.started_us != held.entry.started_us:
                 held.fresh()
             elif entry.state == READY and held.state == DRAINING:
                 held.back_us = self.now
             held.entry, held.state = entry, entry.state
-        if event.kind != api.DELTA:
-            present = {entry.address for entry in event.servers}
-            for address, held in self.servers.items():
-                if address not in present:
-                    held.state = GONE
+        present = {entry.address for entry in event.servers}
+        for address in self.servers.keys() - present if event.kind != api.DELTA else ():
+            self.drop(self.servers[address])
+        if event.kind == api.CACHED:
+            # Reports come so many lines a second: with many servers and proxies each is told of every few
+            # seconds, and a window of fewer would hold nothing of most of them.
+            proxies = self.get("proxies.proxy_count", 0) / self.get("directors", 1)
+            round_s = (proxies * len(self.routes) + len(present)) / self.get("proxies.hears_per_s", 1e9)
+            self.bucket_us = max(self.period_us, int(round_s * 1e6 / 2))
+            self.bucket, self.ease_us = self.now // self.bucket_us, max(EASE_US, self.bucket_us)
+
+    def drop(self, held):
+        """The list no longer has it. Where that alone does not bind, what still answers is kept."""
+        if held.state == READY and self.get("rules.gone_does_not_bind", False):
+            held.state, held.drops = MISSING, Ring(3)
+        elif held.state != MISSING:
+            held.state = GONE
 
     def timer(self, event):
         if event.token == 1:
             self.orders.append(api.Subscribe(True))
 
     def joined(self, event):
-        self.proxies[event.proxy] = Proxy(event, self.now)
+        self.left(event)
+        self.proxies[event.proxy] = self.loose.proxies[event.proxy] = Proxy(event, self.now)
+        self.urgent = True
 
     def left(self, event):
-        self.proxies.pop(event.proxy, None)
+        proxy = self.proxies.pop(event.proxy, None)
+        if proxy:
+            self.waiting -= sum(lines for _, lines in proxy.unread)
+            (proxy.table or self.loose).proxies.pop(event.proxy)
+            if proxy.table:
+                proxy.table.rate -= proxy.rate
 
     def applied(self, event):
         proxy = self.proxies.get(event.proxy)
-        if proxy and any(mark == event.number for mark, _ in proxy.unread):
-            while proxy.unread.popleft()[0] != event.number:
-                pass
+        while proxy and any(mark == event.number for mark, _ in proxy.unread):
+            self.waiting -= proxy.unread.popleft()[1]
 
     def met(self, event):
         held = self.servers.get(event.server)
@@ -187,7 +222,7 @@
             took = (event.tries - event.dropped) * event.mean_us
             held.drops.add(self.bucket, event.tries, event.dropped, took)
             if self.now >= max(held.eased_us, self.settled_us):
-                held.times.add(self.now // EASE_US, event.tries, event.dropped, took)
+                held.times.add(self.now // self.ease_us, event.tries, event.dropped, took)
             held.heard_us, self.reported = self.now, True
 
     def called(self, event):
@@ -196,10 +231,10 @@
             ring.add(self.bucket, event.calls, event.span_us)
 
     def slice_given(self, event):
+        self.urgent = True
+        self.slices.pop(event.slice, None)
         if event.on:
             self.slices[event.slice] = {}
-        else:
-            self.slices.pop(event.slice, None)
 
     def slice_line(self, event):
         if event.slice in self.slices:
@@ -216,11 +251,11 @@
     def warm(self, held):
         started = held.entry.started_us
         old = not started or self.now - started >= self.get("rules.warm_after_us", 0)
-        return held.state == READY and old
+        return held.state in (READY, MISSING) and old
 
     def percentage(self, held):
         """The design's ramp; and the cold guard: never more than a server just started surely can do."""
-        if held.state != READY or held.eject_until:
+        if held.state not in (READY, MISSING) or held.eject_until:
             return 0.0
         part = full = held.health * self.kinds.get(held.entry.machine, 1.0)
         if held.trial_us is not None:
@@ -249,7 +284,8 @@
         It guards against servers that fail fast, hang or vanish long before the list says so, whatever the
         cause. In a jam a full server and a dead one look alike, and each one less deepens it: nobody goes.
         """
-        self.reported = False
+        self.reported, self.urgent = False, True
+        self.search()
         ready = [held for held in self.servers.values() if self.warm(held)]
         seen = {held: held.drops.sums(self.bucket) for held in ready if not held.eject_until}
         all_tries = sum(tries for tries, _, _ in seen.values())
@@ -262,7 +298,8 @@
         times = [took / (tries - lost) for tries, lost, took in recent if tries > lost]
         self.load = median(times or [0]) / self.slo_us
         gap_us = median([self.now - held.heard_us for held in seen] or [0]) + self.period_us
-        weight, laid = sum(held.entry.weight for held in ready), sum(held.laid for held in seen)
+        weight, share = sum(held.entry.weight for held in ready), self.shares()
+        calm = self.load <= JAM and self.answering >= CALM
         out = weight - sum(held.entry.weight for held in seen)
         for held in sorted(seen, key=lambda held: -seen[held][1]):
             tries, dropped, _ = seen[held]
@@ -275,8 +312,8 @@
             if held.trial_us is not None and tries >= TRIAL_TRIES:
                 failing = dropped > tries / 2
             quiet_us = self.now - held.heard_us if held.heard_us else 0
-            due = held.laid / max(laid, 1e-9) * all_tries * quiet_us / (RING * self.period_us)
-            if quiet_us > SILENT_PERIODS * gap_us and due > SILENT_TRIES and not self.jam():
+            due = share[held] * all_tries * quiet_us / (RING * self.bucket_us)
+            if quiet_us > SILENT_PERIODS * gap_us and due > SILENT_TRIES and calm:
                 failing = dead = True
             most = 0 if self.load > JAM else DEAD_MOST if dead else EJECT_MOST
             if failing and out + held.entry.weight <= weight * most:
@@ -284,17 +321,39 @@
                 held.eject_until = self.now + HOLD_TICKS * TICK_US * 2 ** min(held.relapses, 3)
                 held.relapses, held.trial_us, held.back_us = held.relapses + 1, None, None
 
-    def jam(self):
-        return self.load > JAM or self.answering < CALM
+    def search(self):
+        """What the list dropped stays while it answers, where the rules allow it; else it is gone.
+
+        It guards against a list that is wrong, and is the slower to let go of what is truly lost: so what is
+        met at one of them counts for all of them.
+        """
+        missing = [(held, *held.drops.sums(self.bucket))
+                   for held in self.servers.values() if held.state == MISSING]
+        tries, dropped = sum(row[1] for row in missing), sum(row[2] for row in missing)
+        lost = tries >= TRIAL_TRIES and dropped > tries * max(0.5, EJECT_SHARE + 1 - self.answering)
+        for held, tries, dropped, _ in missing:
+            if lost and dropped >= tries or tries >= TRIAL_TRIES and dropped > tries / 2:
+                held.state = GONE
+
+    def shares(self):
+        """By server, the part of all calls that is due to it."""
+        weights, share = defaultdict(float), defaultdict(float)
+        total = sum(table.rate for table in self.tables) or 1.0
+        lines = [(held, table, held.told.get(table.number, 0.0))
+                 for held in self.servers.values() if not held.shut for table in held.tables]
+        for _, table, weight in lines:
+            weights[table] += weight
+        for held, table, weight in lines:
+            share[held] += weight / (weights[table] or 1.0) * table.rate / total
+        return share
 
     def revive(self, held):
         """By the tick: an ejected server comes back on trial, and by the ramp once it has answered there."""
         if held.eject_until and self.now >= held.eject_until:
             held.eject_until, held.trial_us, held.heard_us, held.drops = 0, self.now, 0, Ring(3)
         elif held.trial_us is not None:
-            tries, dropped, _ = held.drops.sums(self.bucket)
-            passed = tries >= TRIAL_TRIES and dropped <= tries / 2
-            if passed or self.now - held.trial_us > TRIAL_TICKS * TICK_US:
+            enough = held.drops.sums(self.bucket)[0] >= TRIAL_TRIES  # with many drops it is ejected again
+            if enough or self.now - held.trial_us > max(TRIAL_TICKS * TICK_US, 2 * self.bucket_us):
                 held.trial_us, held.back_us = None, self.now
 
     def ease(self):
@@ -305,29 +364,29 @@
         """
         cost, chance, kinds = {}, {}, {}
         for held in self.servers.values():
-            tries, dropped, took = held.times.sums(self.now // EASE_US)
+            tries, dropped, took = held.times.sums(self.now // self.ease_us)
             steady = not held.eject_until and held.back_us is None and held.trial_us is None
             if self.warm(held) and steady and tries >= OVERRUN_TRIES:
                 cost[held] = (took + dropped * self.slo_us * 2) / tries
                 chance[held] = 1 + OVERRUN_SURE * tries ** -0.5
                 kinds.setdefault(held.entry.machine, []).append(cost[held])
         kinds = {kind: sum(costs) / len(costs) for kind, costs in kinds.items() if len(costs) > 1}
-        bad = OVERRUN_SLO * self.slo_us
+        bad, settle_us = OVERRUN_SLO * self.slo_us, max(SETTLE_TICKS * TICK_US, 2 * self.bucket_us)
         worst, best = max(kinds, key=kinds.get, default=None), min(kinds, key=kinds.get, default=None)
         if worst is not None and kinds[worst] > max(OVERRUN_TIME * kinds[best], bad):
             if self.kinds.get(best, 1.0) < 1:
                 self.kinds[best] = min(1.0, self.kinds[best] + EASE_BACK)
             else:
                 self.kinds[worst] = self.step_down(self.kinds.get(worst, 1.0), kinds[best] / kinds[worst])
-            self.settled_us = self.now + SETTLE_TICKS * TICK_US
+            self.settled_us = self.now + settle_us
             for held in cost:
                 held.times = Ring(3)
             return
-        middle = median(cost.values() or [0])
-        worst = max(cost, key=lambda held: cost[held] / chance[held], default=None)
-        if worst and cost[worst] > max(middle * max(OVERRUN_TIME, chance[worst]), bad):
-            worst.health = self.step_down(worst.health, middle / cost[worst])
-            worst.eased_us, worst.times = self.now + SETTLE_TICKS * TICK_US, Ring(3)
+        middle, many = median(cost.values() or [0]), max(1, int(EASE_MANY * len(self.servers)))
+        for held in sorted(cost, key=lambda held: -cost[held] / chance[held])[:many]:
+            if cost[held] > max(middle * max(OVERRUN_TIME, chance[held]), bad):
+                held.health = self.step_down(held.health, middle / cost[held])
+                held.eased_us, held.times = self.now + settle_us, Ring(3)
         for held in cost:
             if held.health < 1 and cost[held] < middle and self.now >= held.eased_us + EASE_TICKS * TICK_US:
                 held.health = min(1.0, held.health + EASE_BACK)
@@ -356,16 +415,14 @@
         total = sum(map(sum, demand.values()))
         usual = sum(proxy.rate for proxy in self.proxies.values()) or 1.0
         pressed = self.load > (THROTTLE if self.answering > CALM else THROTTLE / 2)
-        if kind == "silent" or self.limit is None and not pressed:
+        # What joined lately has hardly been reported on: a limit from that would shut out nearly all.
+        since_us = self.now - (RING + RECENT) * self.bucket_us
+        known = sum(proxy.rate for proxy in self.proxies.values() if proxy.joined_us <= since_us)
+        if kind == "silent" or self.limit is None and not (pressed and known):
             return dict.fromkeys(self.routes, full)
         if self.limit is None:
-            # What joined lately has hardly been reported on: a limit from that would shut out nearly all.
-            since_us = self.now - (RING + RECENT) * self.period_us
-            known = sum(proxy.rate for proxy in self.proxies.values() if proxy.joined_us <= since_us)
-            if not known:
-                return dict.fromkeys(self.routes, full)
             tries, dropped = self.ended.sums(self.bucket)
-            self.limit = self.least = (tries - dropped) / (RING * self.period_us) / known
+            self.limit = self.least = (tries - dropped) / (RING * self.bucket_us) / known
             self.limit_us = self.now + 2 * TICK_US
         elif pressed and self.now >= self.limit_us:
             self.limit = max(THROTTLE_LEAST * self.least, THROTTLE_PART * self.limit)
@@ -407,98 +464,167 @@
         if most <= 0:
             return 2.0
         burst = max(1.0, BURST * most)
-        if proxy.tokens is None:
-            proxy.tokens = burst
         rate = (most - burst) / self.get("proxies.counted_over_us", TICK_US)
         proxy.tokens = min(burst, proxy.tokens + (self.now - proxy.filled_us) * rate)
         proxy.filled_us = self.now
         return proxy.tokens
 
+    def make_tables(self):
+        """One for all; or several of fewer servers, where calls are too few to keep all connections open."""
+        count = int(self.get("proxies.proxy_count", 0) / self.get("directors", 1) / SHARERS)
+        rate = sum(proxy.rate for proxy in self.proxies.values()) / len(self.proxies)
+        lines = rate * self.get("limits.conn_idle_us", 1e12) / 1e6 / USES
+        servers = sum(held.state == READY for held in self.servers.values())
+        self.copies = max(COPIES, ceil(count * lines / max(1, servers)))
+        if self.copies >= count:
+            count = self.copies = 1
+        self.tables = [Table(number) for number in range(count)]
+
+    def deal(self):
+        """Put each server on its tables, those with the least of its type; fill up a table that got thin."""
+        weights, fresh = defaultdict(float), []  # by table and type; None: what is usable
+        for held in self.servers.values():
+            if held.state == GONE and held.shut and not any(held.told.values()):
+                held.tables, held.told = [], {}
+            elif held.state == READY and not held.tables:
+                fresh.append(held)
+            for table in held.tables:
+                weights[table, held.entry.machine] += held.entry.weight * (held.state != GONE)
+                weights[table, None] += held.entry.weight * held.part
+        for held in sorted(fresh, key=lambda held: (held.entry.machine, self.draw(held, 0))):
+            kind, weight = held.entry.machine, held.entry.weight
+            held.tables = sorted(self.tables, key=lambda table: (
+                weights[table, kind], self.draw(held, table.number)))[:self.copies]
+            for table in held.tables:
+                weights[table, kind] += weight
+                weights[table, None] += weight * held.part
+        usable = [held for held in self.servers.values() if held.part > 0]
+        mean = sum(weights[table, None] for table in self.tables) / max(1, len(self.tables))
+        for table in self.tables if self.copies < len(self.tables) else ():
+            others = [held for held in usable if table not in held.tables]
+            others.sort(key=lambda held: (held.part, -len(held.tables), self.draw(held, table.number)))
+            while others and weights[table, None] < THIN * mean:
+                held = others.pop()
+                held.tables = [*held.tables, table]
+                weights[table, None] += held.entry.weight * held.part
+        return weights
+
+    def draw(self, held, number):
+        return crc32(b"%d %s" % (number, repr(held.entry.address).encode()))
+
+    def put(self, orders, tables, lines, least, keep):
+        """Give orders of so many lines for some tables if the queue and the proxies' allowance have room."""
+        head = self.get("proxies.head", 0) + 1
+        cost = sum(len(table.proxies) * (lines + (0 if table.lines else head)) for table in tables)
+        fresh = [proxy for table in tables if not table.lines for proxy in table.proxies.values()]
+        if cost > self.spare - keep or any(self.tokens(proxy) < least for proxy in fresh):
+            return False
+        self.spare -= cost
+        self.orders += orders
+        for table in tables:
+            table.lines += lines
+        return True
+
     def lay(self):
         """Write what changed: withdrawals at once, ramp steps by the tick, binds as the queue allows."""
-        pending, head = self.get("proxies.pending_max", 1e9), self.get("proxies.head", 0) + 1
-        waiting = sum(lines for proxy in self.proxies.values() for _, lines in proxy.unread)
-        spare = ROOM * pending - waiting
-        least = min((self.tokens(proxy) for proxy in self.proxies.values()), default=2.0)
+        pending = self.get("proxies.pending_max", 1e9)
+        keep, self.spare = (1 - ROOM) * pending, pending - self.waiting
         warm = [held for held in self.servers.values() if self.warm(held)]
         if all(held.eject_until for held in warm):  # the rest has left the list since: any line beats none
             for held in warm:
                 held.eject_until = 0
-        usable = [held for held in self.servers.values() if self.percentage(held) > 0]
-        bare = usable and all(held.shut or not held.laid for held in usable)
-        tick = least >= 1 if bare else spare > 0 and least >= 2 and self.now >= self.next_tick
-        changes = self.tick() if tick else []
-        for address, held in self.servers.items():
-            part = self.percentage(held)
-            if part <= 0:
-                if not held.shut and least >= 1:
-                    changes.append(api.Withdraw(address, True))
-                    held.shut = True
-                if held.state == GONE and held.laid and least >= 1:
-                    changes.append(api.SetLine(TABLE, address, 0.0))
-                    held.laid = 0.0
-            elif tick:
-                if held.entry.weight * part != held.laid:
-                    held.laid = held.entry.weight * part
-                    changes.append(api.SetLine(TABLE, address, held.laid))
-                if held.shut:
-                    changes.append(api.Withdraw(address, False))
-                    held.shut = False
-        self.orders += changes
-        shutting = sum(1 for order in changes if type(order) is api.Withdraw)
-        cost = {number: (len(changes) if proxy.bound else shutting) + head
-                for number, proxy in self.proxies.items() if (changes if proxy.bound else shutting)}
-        spare -= sum(cost.values())
-        lines = head + 1 + len(self.routes)
-        lines += sum((held.laid > 0) + held.shut for held in self.servers.values())
-        for number, proxy in sorted(self.proxies.items(), key=lambda item: (-item[1].rate, item[0])):
-            if not proxy.bound and spare >= lines and self.tokens(proxy) >= 1:
-                self.orders.append(api.Bind(TABLE, api.ALL_ROUTES, number))
-                proxy.bound = True
-                cost[number] = cost.get(number, 0) + lines
-                spare -= lines
-        if cost:
+        if not self.tables and self.proxies:
+            self.make_tables()
+        if self.now >= self.next_tick:
+            self.tick()
+            self.due = list(self.servers.values())
+        for held in self.servers.values():
+            held.part = self.percentage(held)
+        weights = self.deal()
+        closing = [held for held in self.servers.values() if held.part <= 0 and not held.shut]
+        for held in sorted(closing, key=lambda held: held.state == READY):
+            gone, orders = held.state == GONE, [api.Withdraw(held.entry.address, True)]
+            orders += [api.SetLine(number, held.entry.address, 0.0) for number in held.told if gone]
+            if self.put(orders, [*held.tables, self.loose], 1 + gone, 1, 0):
+                held.shut, held.told = True, {} if gone else held.told
+        served = {number for held in self.servers.values() if not held.shut for number in held.told}
+        for held in self.servers.values():
+            if any(table.number not in served for table in held.tables):
+                self.change(held, 1, 0)
+        self.due = [held for held in self.due if not self.change(held, 2, keep)]
+        self.bind(weights, keep)
+
+    def change(self, held, least, keep):
+        """Tell the tables of a server its weight, if that is news and there is room."""
+        address, weight = held.entry.address, held.entry.weight * held.part
+        stale = [table for table in held.tables if held.told.get(table.number) != weight]
+        if not held.part or not stale and not held.shut:
+            return True
+        orders = [api.SetLine(table.number, address, weight) for table in stale]
+        if held.shut:
+            orders.append(api.Withdraw(address, False))
+        concerned = [*held.tables, self.loose] if held.shut else stale
+        if not self.put(orders, concerned, 1 + held.shut, least, keep):
+            return False
+        held.shut, held.told = False, dict.fromkeys((table.number for table in held.tables), weight)
+        return True
+
+    def bind(self, weights, keep):
+        """Put loose proxies on their tables, the busiest first; then mark what was written."""
+        head, sizes, reached = self.get("proxies.head", 0) + 1, defaultdict(int), []
+        for held in self.servers.values():
+            for number in held.told:
+                sizes[number] += 1 + held.shut
+        for number, proxy in sorted(self.loose.proxies.items(), key=lambda item: (-item[1].rate, item[0])):
+            table = self.homes.get(number)
+            table = table or min(self.tables, key=lambda it: it.rate / max(weights[it, None], 1e-9))
+            lines = head + 1 + len(table.said) + sizes[table.number]
+            if self.spare - keep >= lines and self.tokens(proxy) >= 1:
+                self.orders.append(api.Bind(table.number, api.ALL_ROUTES, number))
+                self.spare -= lines
+                self.homes[number] = proxy.table = table
+                table.rate += proxy.rate
+                reached.append((proxy, lines + self.loose.lines))
+                del self.loose.proxies[number]
+        for table in (*self.tables, self.loose):
+            if table.lines:
+                reached += [(proxy, table.lines + head) for proxy in table.proxies.values()]
+                table.lines = 0
+        if reached:
             self.mark = (self.mark + 1) % 65536
             self.orders.append(api.Mark(self.mark, False))
-            for number, lines in cost.items():
-                proxy = self.proxies[number]
-                proxy.unread.append((self.mark, lines))
-                if proxy.tokens is not None:
-                    proxy.tokens -= 1
+        for proxy, lines in reached:
+            proxy.unread.append((self.mark, lines))
+            self.waiting += lines
+            proxy.tokens -= 1
+            if proxy.table:
+                proxy.table.proxies[proxy.number] = proxy
 
     def tick(self):
-        """What is looked at once a tick; the changes of levels that come of it."""
+        """What is looked at once a tick."""
         self.next_tick = self.now + TICK_US
         for held in self.servers.values():
             self.revive(held)
         self.ease()
-        changes, levels = [], self.levels()
-        for route in self.routes:
-            if self.said.get(route) != levels[route]:
-                self.said[route] = levels[route]
-                changes.append(api.Admit(TABLE, 1 << route, levels[route], api.NO_RETRY))
-        return changes
+        levels = self.levels()
+        for table in self.tables:
+            news = [route for route in self.routes if table.said.get(route) != levels[route]]
+            orders = [api.Admit(table.number, 1 << route, levels[route], api.NO_RETRY) for route in news]
+            if news and self.put(orders, [table], len(news), 2, 0):
+                table.said.update((route, levels[route]) for route in news)
 
     def keep_slices(self):
         """Slices stay where they are; one that has lost its server goes to another, by weight and chance."""
-        usable = [(address, held) for address, held in self.servers.items() if self.percentage(held) > 0]
+        usable = [held for held in self.servers.values() if self.percentage(held) > 0]
         for address, held in self.servers.items():
-            shut = held.state != READY
-            if shut != held.shut:
-                self.orders.append(api.Withdraw(address, shut))
-                held.shut = shut
+            if held.shut != (held.state != READY):
+                held.shut = not held.shut
+                self.orders.append(api.Withdraw(address, held.shut))
         for number, lines in self.slices.items():
-            lost = [a for a in lines if a not in self.servers or self.servers[a].state != READY]
+            lost = [address for address in lines if address not in self.servers or self.servers[address].shut]
             if usable and len(lost) == len(lines):
-                heir = max(usable, key=lambda item: self.score(number, item))[0]
+                heir = max(usable, key=lambda held: held.entry.weight * self.draw(held, number)).entry.address
                 self.orders.append(api.SetLine(number, heir, 1.0))
-                lines[heir] = 1.0
-                for address in lost:
-                    if not self.get("proxies.one_owner", False):
-                        self.orders.append(api.SetLine(number, address, 0.0))
-                    del lines[address]
-
-    def score(self, number, item):
-        address, held = item
-        draw = crc32(b"%d %d %s" % (self.seed, number, repr(address).encode())) + 1
-        return held.entry.weight * self.percentage(held) * draw
+                if not self.get("proxies.one_owner", False):
+                    self.orders += [api.SetLine(number, address, 0.0) for address in lost]
+                self.slices[number] = {heir: 1.0}
