--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -45,7 +45,7 @@
 SILENT_TRIES, SILENT_PERIODS = 8, 2  # silent: so many tries were due over so many periods, and none ended
 EJECT_MOST, DEAD_MOST = 0.34, 0.6  # parts of the listed weight: ejected at most; and if it answers nothing
 HOLD_TICKS = 1  # an ejection lasts this many ticks, twice as many after each relapse
-TRIAL, TRIAL_TRIES, TRIAL_TICKS = FIRST_STEP, 3, 1  # then it has this percentage, until so many tries or ticks
+TRIAL, TRIAL_TRIES, TRIAL_TICKS = 0.25, 3, 1  # then it has this percentage, until so many tries or ticks
 
 OVERRUN_TRIES = 10  # fewer tries than this do not show that a server is overrun
 OVERRUN_TIME, OVERRUN_SLO = 1.6, 0.6  # its time is so much longer than the fleet's, and this part of the SLO
