A proxy's table follows its number; silence and drops are judged by what reports cover

A change of director did the same, as it dealt other tables.

Changes: silence is judged by the span that reports cover; the deviation that ejects is widened where drops come in clumps at most servers (not for a server that answers nothing); tables depend on the list alone and a proxy's table on its number, so another director, or a restarted one, has the same tables. It could let a single broken server stay longer while new connections fail everywhere.

--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -29,7 +29,7 @@
 MISSING = 3  # the list dropped it, yet it need not be withdrawn
 
 SHARERS = 6  # proxies to a table at least, or there is one for all
-USES = 4  # calls that a proxy has for each line within the time that an idle connection lasts
+LINES = 2.5  # times the lines of a standing table are wanted in each
 COPIES = 2  # tables that hold a server, at least
 THIN = 0.5  # a table with less of the mean of usable weight gets more servers
 
@@ -41,8 +41,9 @@
 JAM = 0.6  # so is one whose middle time is this part of the SLO time
 
 EJECT_DROPS, EJECT_SHARE, SURE = 4, 0.3, 3  # drops, share above the others', deviations that eject
+CLUMPED = 2.2  # the mean of squared deviations over their median, where they come by chance
 QUICK = 2  # what answers the rest within this multiple of the fleet's time is broken, not overrun
-SILENT_TRIES, SILENT_PERIODS = 8, 2  # silent: so many tries were due over so many periods, and none ended
+SILENT_TRIES, SILENT_PERIODS = 8, 2  # silent: so many tries were due over so many rounds, and none ended
 EJECT_MOST, DEAD_MOST = 0.34, 0.6  # parts of the listed weight: ejected at most; and if it answers nothing
 HOLD_TICKS = 1  # an ejection lasts this many ticks, twice as many after each relapse
 TRIAL, TRIAL_TRIES, TRIAL_TICKS = 0.25, 3, 1  # then it has this percentage, until so many tries or ticks
@@ -87,11 +88,11 @@
         self.entry, self.state = entry, GONE
         self.shut, self.told, self.part = False, {}, 0.0  # as proxies were told: weight by table; percentage
         self.tables = []  # that hold it
-        self.drops, self.times = Ring(3), Ring(3)  # tries, dropped ones, microseconds of the answered ones
         self.fresh()
 
     def fresh(self):
         """It has just started: what was held against it is void."""
+        self.drops, self.times = Ring(3), Ring(3)  # tries, dropped ones, microseconds of the answered ones
         self.back_us = self.trial_us = None  # when its ramp began, after a drain or trial; and its trial
         self.eject_until, self.relapses, self.heard_us = 0, 0, 0
         self.health, self.eased_us = 1.0, 0
@@ -144,13 +145,13 @@
     def start(self, event):
         self.settings, self.seed = event.settings, event.seed
         self.servers, self.proxies, self.slices = {}, {}, {}
-        self.tables, self.homes, self.loose, self.due = [], {}, Table(None), []
+        self.tables, self.loose, self.due = [], Table(None), []
         self.copies, self.ease_us = 1, EASE_US  # tables that hold a server; buckets of what eases
         self.mark, self.next_tick, self.next_beat, self.waiting = 0, self.now, self.now, 0
         self.period_us = self.bucket_us = self.get("proxies.report_every_us", TICK_US)
         self.routes = range(self.get("routes.count", 0))
         self.slo_us = min((self.get(f"routes.{route}.slo_time_us", 1) for route in self.routes), default=1)
-        self.ended, self.reported = Ring(2), False  # tries that ended anywhere, dropped ones
+        self.ended, self.reported = Ring(4), False  # anywhere: tries, dropped ones; reports' spans, how many
         self.load, self.answering = 0.0, 1.0  # middle time over SLO time; share answered
         self.kinds, self.settled_us = {}, 0  # the part of machine types that are eased
         self.limit, self.limit_us = None, 0  # calls let in, for each call that proxies usually get
@@ -181,9 +182,11 @@
         if event.kind == api.CACHED:
             # Reports come so many lines a second: with many servers and proxies each is told of every few
             # seconds, and a window of fewer would hold nothing of most of them.
-            proxies = self.get("proxies.proxy_count", 0) / self.get("directors", 1)
-            round_s = (proxies * len(self.routes) + len(present)) / self.get("proxies.hears_per_s", 1e9)
-            self.bucket_us = max(self.period_us, int(round_s * 1e6 / 2))
+            directors = self.get("directors", 1)
+            proxies = self.get("proxies.proxy_count", 0) / directors
+            zones = max(1, len({entry.zone for entry in event.servers}) / directors)
+            lines = (proxies * len(self.routes) + len(present) * zones) / RECENT
+            self.bucket_us = max(self.period_us, int(lines / self.get("proxies.hears_per_s", 1e9) * 1e6))
             self.bucket, self.ease_us = self.now // self.bucket_us, max(EASE_US, self.bucket_us)
 
     def drop(self, held):
@@ -217,7 +220,7 @@
 
     def met(self, event):
         held = self.servers.get(event.server)
-        self.ended.add(self.bucket, event.tries, event.dropped)
+        self.ended.add(self.bucket, event.tries, event.dropped, event.span_us, 1)
         if held and not held.eject_until:
             took = (event.tries - event.dropped) * event.mean_us
             held.drops.add(self.bucket, event.tries, event.dropped, took)
@@ -290,14 +293,19 @@
         seen = {held: held.drops.sums(self.bucket) for held in ready if not held.eject_until}
         all_tries = sum(tries for tries, _, _ in seen.values())
         all_dropped = sum(dropped for _, dropped, _ in seen.values())
-        lately, lost_lately = self.ended.sums(self.bucket, RECENT)
+        lately, lost_lately, span_us, lines = self.ended.sums(self.bucket, RECENT)
         self.answering = 1 - lost_lately / max(lately, EJECT_DROPS)
         means = {held: took / (tries - lost) for held, (tries, lost, took) in seen.items() if tries > lost}
         middle = median(means.values() or [0])
         recent = [held.drops.sums(self.bucket, RECENT) for held in seen]
         times = [took / (tries - lost) for tries, lost, took in recent if tries > lost]
         self.load = median(times or [0]) / self.slo_us
-        gap_us = median([self.now - held.heard_us for held in seen] or [0]) + self.period_us
+        age_us = median([self.now - held.heard_us for held in seen] or [0])
+        round_us = max(age_us + self.period_us, span_us / max(1, lines))
+        # Where drops come in clumps at most servers, as when new connections fail, chance spreads wider.
+        usual = min(0.99, all_dropped / max(1, all_tries) + 1e-9)
+        odd = [(lost - usual * tries) ** 2 / tries for tries, lost, _ in seen.values() if tries]
+        spread = max(1.0, CLUMPED * median(odd or [0]) / usual / (1 - usual))
         weight, share = sum(held.entry.weight for held in ready), self.shares()
         calm = self.load <= JAM and self.answering >= CALM
         out = weight - sum(held.entry.weight for held in seen)
@@ -305,15 +313,15 @@
             tries, dropped, _ = seen[held]
             usual = max(0, all_dropped - dropped) / max(1, all_tries - tries)
             excess = dropped - usual * tries
-            sure = excess > SURE * (tries * usual * (1 - usual) + 1) ** 0.5
             dead = dropped == tries > 0
+            sure = excess > SURE * ((1 if dead else spread) * tries * usual * (1 - usual) + 1) ** 0.5
             quick = means.get(held, 0) < min(QUICK * middle, self.slo_us)
             failing = sure and dropped >= EJECT_DROPS and excess > EJECT_SHARE * tries and (quick or dead)
             if held.trial_us is not None and tries >= TRIAL_TRIES:
                 failing = dropped > tries / 2
             quiet_us = self.now - held.heard_us if held.heard_us else 0
             due = share[held] * all_tries * quiet_us / (RING * self.bucket_us)
-            if quiet_us > SILENT_PERIODS * gap_us and due > SILENT_TRIES and calm:
+            if quiet_us > SILENT_PERIODS * round_us and due > SILENT_TRIES and calm:
                 failing = dead = True
             most = 0 if self.load > JAM else DEAD_MOST if dead else EJECT_MOST
             if failing and out + held.entry.weight <= weight * most:
@@ -382,8 +390,8 @@
             for held in cost:
                 held.times = Ring(3)
             return
-        middle, many = median(cost.values() or [0]), max(1, int(EASE_MANY * len(self.servers)))
-        for held in sorted(cost, key=lambda held: -cost[held] / chance[held])[:many]:
+        middle, most = median(cost.values() or [0]), max(1, int(EASE_MANY * len(cost)))
+        for held in sorted(cost, key=lambda held: -cost[held] / chance[held])[:most]:
             if cost[held] > max(middle * max(OVERRUN_TIME, chance[held]), bad):
                 held.health = self.step_down(held.health, middle / cost[held])
                 held.eased_us, held.times = self.now + settle_us, Ring(3)
@@ -421,7 +429,7 @@
         if kind == "silent" or self.limit is None and not (pressed and known):
             return dict.fromkeys(self.routes, full)
         if self.limit is None:
-            tries, dropped = self.ended.sums(self.bucket)
+            tries, dropped = self.ended.sums(self.bucket)[:2]
             self.limit = self.least = (tries - dropped) / (RING * self.bucket_us) / known
             self.limit_us = self.now + 2 * TICK_US
         elif pressed and self.now >= self.limit_us:
@@ -472,10 +480,8 @@
     def make_tables(self):
         """One for all; or several of fewer servers, where calls are too few to keep all connections open."""
         count = int(self.get("proxies.proxy_count", 0) / self.get("directors", 1) / SHARERS)
-        rate = sum(proxy.rate for proxy in self.proxies.values()) / len(self.proxies)
-        lines = rate * self.get("limits.conn_idle_us", 1e12) / 1e6 / USES
-        servers = sum(held.state == READY for held in self.servers.values())
-        self.copies = max(COPIES, ceil(count * lines / max(1, servers)))
+        lines, servers = LINES * self.get("proxies.default_size", 1e9), max(1, len(self.servers))
+        self.copies = max(COPIES, ceil(count * lines / servers))
         if self.copies >= count:
             count = self.copies = 1
         self.tables = [Table(number) for number in range(count)]
@@ -507,7 +513,6 @@
                 held = others.pop()
                 held.tables = [*held.tables, table]
                 weights[table, None] += held.entry.weight * held.part
-        return weights
 
     def draw(self, held, number):
         return crc32(b"%d %s" % (number, repr(held.entry.address).encode()))
@@ -530,9 +535,8 @@
         pending = self.get("proxies.pending_max", 1e9)
         keep, self.spare = (1 - ROOM) * pending, pending - self.waiting
         warm = [held for held in self.servers.values() if self.warm(held)]
-        if all(held.eject_until for held in warm):  # the rest has left the list since: any line beats none
-            for held in warm:
-                held.eject_until = 0
+        for held in warm if all(held.eject_until for held in warm) else ():
+            held.eject_until = 0  # the rest has left the list since: any line beats none
         if not self.tables and self.proxies:
             self.make_tables()
         if self.now >= self.next_tick:
@@ -540,7 +544,7 @@
             self.due = list(self.servers.values())
         for held in self.servers.values():
             held.part = self.percentage(held)
-        weights = self.deal()
+        self.deal()
         closing = [held for held in self.servers.values() if held.part <= 0 and not held.shut]
         for held in sorted(closing, key=lambda held: held.state == READY):
             gone, orders = held.state == GONE, [api.Withdraw(held.entry.address, True)]
@@ -552,7 +556,7 @@
             if any(table.number not in served for table in held.tables):
                 self.change(held, 1, 0)
         self.due = [held for held in self.due if not self.change(held, 2, keep)]
-        self.bind(weights, keep)
+        self.bind(keep)
 
     def change(self, held, least, keep):
         """Tell the tables of a server its weight, if that is news and there is room."""
@@ -569,20 +573,19 @@
         held.shut, held.told = False, dict.fromkeys((table.number for table in held.tables), weight)
         return True
 
-    def bind(self, weights, keep):
+    def bind(self, keep):
         """Put loose proxies on their tables, the busiest first; then mark what was written."""
         head, sizes, reached = self.get("proxies.head", 0) + 1, defaultdict(int), []
         for held in self.servers.values():
             for number in held.told:
                 sizes[number] += 1 + held.shut
         for number, proxy in sorted(self.loose.proxies.items(), key=lambda item: (-item[1].rate, item[0])):
-            table = self.homes.get(number)
-            table = table or min(self.tables, key=lambda it: it.rate / max(weights[it, None], 1e-9))
+            table = self.tables[number % len(self.tables)]
             lines = head + 1 + len(table.said) + sizes[table.number]
             if self.spare - keep >= lines and self.tokens(proxy) >= 1:
                 self.orders.append(api.Bind(table.number, api.ALL_ROUTES, number))
                 self.spare -= lines
-                self.homes[number] = proxy.table = table
+                proxy.table = table
                 table.rate += proxy.rate
                 reached.append((proxy, lines + self.loose.lines))
                 del self.loose.proxies[number]
@@ -590,9 +593,8 @@
             if table.lines:
                 reached += [(proxy, table.lines + head) for proxy in table.proxies.values()]
                 table.lines = 0
-        if reached:
-            self.mark = (self.mark + 1) % 65536
-            self.orders.append(api.Mark(self.mark, False))
+        self.mark = (self.mark + bool(reached)) % 65536
+        self.orders += [api.Mark(self.mark, False)] if reached else []
         for proxy, lines in reached:
             proxy.unread.append((self.mark, lines))
             self.waiting += lines
