Types are eased on the median of their servers; the ejected come back by the ramp alone

Types now go by the median of their servers' costs, over 40 tries in all, from half of the SLO time on. The trial before the ramp and the ramp became one: what was ejected waits at 25% until it has been heard of.

--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -8,7 +8,7 @@
 Beside the design stand these mechanisms (six at most):
 1. Paced channel: lines that wait and messages per proxy are accounted for; what is urgent goes first.
 2. Cold guard: the percentage of a server that started lately follows its listed start time.
-3. Ejection on evidence: a server that drops beyond chance or falls silent is shut out; back on trial.
+3. Ejection on evidence: a server that drops beyond chance or falls silent is shut out; back by the ramp.
 4. Easing: a machine type or a server that is overrun beside the rest gets a lower percentage.
 5. No retries by proxies: 'full' is proof too, and such a try feeds the jam that refused it.
 6. Throttling: where levels are obeyed, a jammed fleet gets no more calls than it answers.
@@ -46,12 +46,13 @@
 SILENT_TRIES, SILENT_PERIODS = 8, 2  # silent: so many tries were due over so many rounds, and none ended
 EJECT_MOST, DEAD_MOST = 0.34, 0.6  # parts of the listed weight: ejected at most; and if it answers nothing
 HOLD_TICKS = 1  # an ejection lasts this many ticks, twice as many after each relapse
-TRIAL, TRIAL_TRIES, TRIAL_TICKS = 0.25, 3, 1  # then it has this percentage, until so many tries or ticks
+TRIAL_TRIES = 3  # then it climbs by the ramp, and goes again if it drops more than half of so many tries
 
 OVERRUN_TRIES = 10  # fewer tries than this do not show that a server is overrun
 OVERRUN_TIME, OVERRUN_SLO = 1.6, 0.6  # its time is so much longer than the fleet's, and this part of the SLO
 OVERRUN_SURE, EASE_US = 3, TICK_US // 2  # standard errors beyond chance; the least buckets of that evidence
 EASE_MANY = 0.06  # the part of the servers that may be eased at once, one at least
+KIND_TRIES, KIND_TIME, KIND_SLO = 40, 1.6, 0.5  # the same for a machine type
 EASE_POWER, EASE_MOST, EASE_LEAST = 0.33, 0.5, 0.3  # the root of that ratio is taken; a step at most; in all
 SETTLE_TICKS = 2  # after a step, before what is heard counts again
 EASE_TICKS, EASE_BACK = 8, 0.125  # then, under the fleet's middle for so long, it climbs by so much
@@ -93,7 +94,7 @@
     def fresh(self):
         """It has just started: what was held against it is void."""
         self.drops, self.times = Ring(3), Ring(3)  # tries, dropped ones, microseconds of the answered ones
-        self.back_us = self.trial_us = None  # when its ramp began, after a drain or trial; and its trial
+        self.back_us = None  # when its ramp began, after a drain or an ejection
         self.eject_until, self.relapses, self.heard_us = 0, 0, 0
         self.health, self.eased_us = 1.0, 0
 
@@ -261,10 +262,10 @@
         if held.state not in (READY, MISSING) or held.eject_until:
             return 0.0
         part = full = held.health * self.kinds.get(held.entry.machine, 1.0)
-        if held.trial_us is not None:
-            part = min(part, TRIAL)
         if held.back_us is not None:
-            part = min(part, FIRST_STEP + STEP * ((self.now - held.back_us) // TICK_US))
+            # What was ejected waits with its second step until it is heard of.
+            trial_us = max(TICK_US, 2 * self.bucket_us) if held.relapses else 0
+            part = min(part, FIRST_STEP + STEP * max(0, (self.now - held.back_us - trial_us) // TICK_US))
             if part >= full:
                 held.back_us = None
         if not self.warm(held):
@@ -317,7 +318,7 @@
             sure = excess > SURE * ((1 if dead else spread) * tries * usual * (1 - usual) + 1) ** 0.5
             quick = means.get(held, 0) < min(QUICK * middle, self.slo_us)
             failing = sure and dropped >= EJECT_DROPS and excess > EJECT_SHARE * tries and (quick or dead)
-            if held.trial_us is not None and tries >= TRIAL_TRIES:
+            if held.relapses and held.back_us is not None and tries >= TRIAL_TRIES:
                 failing = dropped > tries / 2
             quiet_us = self.now - held.heard_us if held.heard_us else 0
             due = share[held] * all_tries * quiet_us / (RING * self.bucket_us)
@@ -327,7 +328,7 @@
             if failing and out + held.entry.weight <= weight * most:
                 out += held.entry.weight
                 held.eject_until = self.now + HOLD_TICKS * TICK_US * 2 ** min(held.relapses, 3)
-                held.relapses, held.trial_us, held.back_us = held.relapses + 1, None, None
+                held.relapses, held.back_us = held.relapses + 1, None
 
     def search(self):
         """What the list dropped stays while it answers, where the rules allow it; else it is gone.
@@ -355,15 +356,6 @@
             share[held] += weight / (weights[table] or 1.0) * table.rate / total
         return share
 
-    def revive(self, held):
-        """By the tick: an ejected server comes back on trial, and by the ramp once it has answered there."""
-        if held.eject_until and self.now >= held.eject_until:
-            held.eject_until, held.trial_us, held.heard_us, held.drops = 0, self.now, 0, Ring(3)
-        elif held.trial_us is not None:
-            enough = held.drops.sums(self.bucket)[0] >= TRIAL_TRIES  # with many drops it is ejected again
-            if enough or self.now - held.trial_us > max(TRIAL_TICKS * TICK_US, 2 * self.bucket_us):
-                held.trial_us, held.back_us = None, self.now
-
     def ease(self):
         """Once a tick the machine type, or else the one server, that is overrun most gets a step less.
 
@@ -373,21 +365,24 @@
         cost, chance, kinds = {}, {}, {}
         for held in self.servers.values():
             tries, dropped, took = held.times.sums(self.now // self.ease_us)
-            steady = not held.eject_until and held.back_us is None and held.trial_us is None
-            if self.warm(held) and steady and tries >= OVERRUN_TRIES:
-                cost[held] = (took + dropped * self.slo_us * 2) / tries
-                chance[held] = 1 + OVERRUN_SURE * tries ** -0.5
-                kinds.setdefault(held.entry.machine, []).append(cost[held])
-        kinds = {kind: sum(costs) / len(costs) for kind, costs in kinds.items() if len(costs) > 1}
+            steady = not held.eject_until and held.back_us is None
+            if self.warm(held) and steady:
+                took += dropped * self.slo_us * 2
+                if tries >= TRIAL_TRIES:
+                    kinds.setdefault(held.entry.machine, []).append((took / tries, tries))
+                if tries >= OVERRUN_TRIES:
+                    cost[held], chance[held] = took / tries, 1 + OVERRUN_SURE * tries ** -0.5
+        kinds = {kind: median(took for took, _ in rows) for kind, rows in kinds.items()
+                 if len(rows) > 1 and sum(tries for _, tries in rows) >= KIND_TRIES}
         bad, settle_us = OVERRUN_SLO * self.slo_us, max(SETTLE_TICKS * TICK_US, 2 * self.bucket_us)
         worst, best = max(kinds, key=kinds.get, default=None), min(kinds, key=kinds.get, default=None)
-        if worst is not None and kinds[worst] > max(OVERRUN_TIME * kinds[best], bad):
+        if worst is not None and kinds[worst] > max(KIND_TIME * kinds[best], KIND_SLO * self.slo_us):
             if self.kinds.get(best, 1.0) < 1:
                 self.kinds[best] = min(1.0, self.kinds[best] + EASE_BACK)
             else:
                 self.kinds[worst] = self.step_down(self.kinds.get(worst, 1.0), kinds[best] / kinds[worst])
             self.settled_us = self.now + settle_us
-            for held in cost:
+            for held in self.servers.values():
                 held.times = Ring(3)
             return
         middle, most = median(cost.values() or [0]), max(1, int(EASE_MANY * len(cost)))
@@ -606,7 +601,8 @@
         """What is looked at once a tick."""
         self.next_tick = self.now + TICK_US
         for held in self.servers.values():
-            self.revive(held)
+            if held.eject_until and self.now >= held.eject_until:
+                held.eject_until, held.back_us, held.heard_us, held.drops = 0, self.now, 0, Ring(3)
         self.ease()
         levels = self.levels()
         for table in self.tables:
