Tables of one zone where crossing is dear, others in part; fewer calls to the cold when few warm are left

Where crossing has a price and each zone has servers and proxies for tables of its own, a table holds servers of one zone, and a zone that is busier than the fleet uses servers of the others at a part of their weight (steps of a quarter, changed rarely). Tables without a proxy are not laid. Easing takes four tries and leaves the rest to chance; levels are told as a table is laid.

Now what is missing must drop more than the fleet, and cold servers get less once usable warm weight is under half of the most it was.

--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -15,7 +15,6 @@
 """
 
 from collections import defaultdict, deque
-from math import ceil
 from statistics import median
 from zlib import crc32
 
@@ -28,39 +27,49 @@
 RING, RECENT = 4, 2  # buckets of evidence; of how things are now: the time in which every line is reported
 MISSING = 3  # the list dropped it, yet it need not be withdrawn
 
-SHARERS = 6  # proxies to a table at least, or there is one for all
-LINES = 2.5  # times the lines of a standing table are wanted in each
-COPIES = 2  # tables that hold a server, at least
-THIN = 0.5  # a table with less of the mean of usable weight gets more servers
+SHARERS, LINES = 7, 2.5  # proxies to a table, or there is one for all; its lines, in standing tables
+FAR_PRICE, FAR_STEP = 0.03, 0.25  # tables are of one zone from this price on; steps in which it uses others
+COPIES, THIN = 2, 0.5  # tables that hold a server, at least; a table under this part of the mean gets more
 
 ROOM = 0.5  # binds and ramp steps leave this part of the channel's queue to withdrawals
 BURST = 0.25  # of the messages that a proxy may be written, this part may go out at once
 
 DEEP_LOAD = 2.7  # cold servers get less from this part of the fall multiple on, as middle time in SLO times
 DEEP, CALM = 0.35, 0.7  # a fleet that answers less than this share of its tries is in a jam, deep or not
-JAM = 0.6  # so is one whose middle time is this part of the SLO time
+FEW_WARM = 0.5  # and less, too, once usable warm weight is under this part of the most that it was
+JAM = 0.6  # so is a fleet whose middle time is this part of the SLO time
 
 EJECT_DROPS, EJECT_SHARE, SURE = 4, 0.3, 3  # drops, share above the others', deviations that eject
 CLUMPED = 2.2  # the mean of squared deviations over their median, where they come by chance
 QUICK = 2  # what answers the rest within this multiple of the fleet's time is broken, not overrun
 SILENT_TRIES, SILENT_PERIODS = 8, 2  # silent: so many tries were due over so many rounds, and none ended
 EJECT_MOST, DEAD_MOST = 0.34, 0.6  # parts of the listed weight: ejected at most; and if it answers nothing
-HOLD_TICKS = 1  # an ejection lasts this many ticks, twice as many after each relapse
-TRIAL_TRIES = 3  # then it climbs by the ramp, and goes again if it drops more than half of so many tries
+TRIAL_TRIES = 3  # back on the ramp it goes again if it drops more than half of so many tries
 
-OVERRUN_TRIES = 10  # fewer tries than this do not show that a server is overrun
-OVERRUN_TIME, OVERRUN_SLO = 1.6, 0.6  # its time is so much longer than the fleet's, and this part of the SLO
+OVERRUN_TRIES, OVERRUN_TIME, OVERRUN_SLO = 4, 1.6, 0.6  # tries, times the fleet's time, part of the SLO time
 OVERRUN_SURE, EASE_US = 3, TICK_US // 2  # standard errors beyond chance; the least buckets of that evidence
 EASE_MANY = 0.06  # the part of the servers that may be eased at once, one at least
 KIND_TRIES, KIND_TIME, KIND_SLO = 40, 1.6, 0.5  # the same for a machine type
 EASE_POWER, EASE_MOST, EASE_LEAST = 0.33, 0.5, 0.3  # the root of that ratio is taken; a step at most; in all
-SETTLE_TICKS = 2  # after a step, before what is heard counts again
-EASE_TICKS, EASE_BACK = 8, 0.125  # then, under the fleet's middle for so long, it climbs by so much
+SETTLE_TICKS, EASE_TICKS, EASE_BACK = 2, 8, 0.125  # before it is judged again; before it climbs, and by what
 
 THROTTLE = 0.5  # from this middle time on, as a part of the SLO time, calls are throttled
 THROTTLE_PART, THROTTLE_RISE, THROTTLE_LEAST = 0.9, 1.1, 0.6  # what is let in falls and rises so; its least
 
 
+def step_down(part, ratio):
+    return max(EASE_LEAST, part * max(EASE_MOST, ratio ** EASE_POWER))
+
+
+def even(wants, limit):
+    """The level at which those who want more are cut so that all get the limit: 4 for [1, 2, 9] and 7."""
+    for done, want in enumerate(sorted(wants)):
+        if want * (len(wants) - done) >= limit:
+            return limit / (len(wants) - done)
+        limit -= want
+    return limit
+
+
 class Ring:
     """Sums over the last few buckets of time, which are used again in a ring."""
 
@@ -98,12 +107,16 @@
         self.eject_until, self.relapses, self.heard_us = 0, 0, 0
         self.health, self.eased_us = 1.0, 0
 
+    def laid(self):
+        return self.entry.weight * self.part
+
 
 class Table:
     """A table that many proxies share."""
 
-    def __init__(self, number):
-        self.number, self.proxies, self.said = number, {}, {}  # who is bound; levels by route, as told
+    def __init__(self, number, zone=None):
+        self.number, self.zone, self.used = number, zone, False
+        self.proxies, self.said = {}, {}  # who is bound; levels by route, as told
         self.rate, self.lines = 0.0, 0  # calls that its proxies usually get; lines for each in this step
 
 
@@ -111,7 +124,8 @@
     """What the director holds of one joined proxy."""
 
     def __init__(self, event, now):
-        self.number, self.rate, self.table, self.joined_us = event.proxy, event.rate, None, now
+        self.number, self.zone, self.rate = event.proxy, event.zone, event.rate
+        self.table, self.joined_us = None, now
         self.calls = {}  # by route: calls that came, and over how many microseconds
         self.unread = deque()  # (mark, lines) of messages not yet answered
         self.tokens, self.filled_us = 1e9, now  # messages that it may be written, and when that was counted
@@ -146,18 +160,19 @@
     def start(self, event):
         self.settings, self.seed = event.settings, event.seed
         self.servers, self.proxies, self.slices = {}, {}, {}
-        self.tables, self.loose, self.due = [], Table(None), []
+        self.tables, self.groups, self.far, self.loose, self.due = [], {}, {}, Table(None), []
         self.copies, self.ease_us = 1, EASE_US  # tables that hold a server; buckets of what eases
         self.mark, self.next_tick, self.next_beat, self.waiting = 0, self.now, self.now, 0
         self.period_us = self.bucket_us = self.get("proxies.report_every_us", TICK_US)
+        self.expected, self.directors = self.get("proxies.proxy_count", 0), self.get("directors", 1)
         self.routes = range(self.get("routes.count", 0))
         self.slo_us = min((self.get(f"routes.{route}.slo_time_us", 1) for route in self.routes), default=1)
         self.ended, self.reported = Ring(4), False  # anywhere: tries, dropped ones; reports' spans, how many
+        self.warm_now = self.warm_most = 1e-9  # listed weight of the warm servers in use; the most it was
         self.load, self.answering = 0.0, 1.0  # middle time over SLO time; share answered
         self.kinds, self.settled_us = {}, 0  # the part of machine types that are eased
         self.limit, self.limit_us = None, 0  # calls let in, for each call that proxies usually get
-        if self.get("discovery", "pushed") == "on_request":
-            self.orders.append(api.Subscribe(True))
+        self.orders += [api.Subscribe(True)] if self.get("discovery", "pushed") == "on_request" else []
 
     # What is heard
 
@@ -166,9 +181,7 @@
         if event.kind == api.FAILED:
             return self.orders.append(api.SetTimer(1, TICK_US))
         for entry in event.servers:
-            held = self.servers.get(entry.address)
-            if held is None:
-                held = self.servers[entry.address] = State(entry)
+            held = self.servers.setdefault(entry.address, State(entry))
             if entry.state == GONE:
                 self.drop(held)
                 continue
@@ -181,13 +194,11 @@
         for address in self.servers.keys() - present if event.kind != api.DELTA else ():
             self.drop(self.servers[address])
         if event.kind == api.CACHED:
-            # Reports come so many lines a second: with many servers and proxies each is told of every few
-            # seconds, and a window of fewer would hold nothing of most of them.
-            directors = self.get("directors", 1)
-            proxies = self.get("proxies.proxy_count", 0) / directors
-            zones = max(1, len({entry.zone for entry in event.servers}) / directors)
-            lines = (proxies * len(self.routes) + len(present) * zones) / RECENT
-            self.bucket_us = max(self.period_us, int(lines / self.get("proxies.hears_per_s", 1e9) * 1e6))
+            # Reports come so many lines a second: a window of less than a round has nothing of most.
+            zones = max(self.directors, len({entry.zone for entry in event.servers}))
+            lines = (self.expected * len(self.routes) + len(present) * zones) / self.directors
+            round_us = lines / self.get("proxies.hears_per_s", 1e9) * 1e6
+            self.bucket_us = max(self.period_us, int(round_us / RECENT))
             self.bucket, self.ease_us = self.now // self.bucket_us, max(EASE_US, self.bucket_us)
 
     def drop(self, held):
@@ -198,8 +209,7 @@
             held.state = GONE
 
     def timer(self, event):
-        if event.token == 1:
-            self.orders.append(api.Subscribe(True))
+        self.orders += [api.Subscribe(True)] if event.token == 1 else []
 
     def joined(self, event):
         self.left(event)
@@ -223,10 +233,10 @@
         held = self.servers.get(event.server)
         self.ended.add(self.bucket, event.tries, event.dropped, event.span_us, 1)
         if held and not held.eject_until:
-            took = (event.tries - event.dropped) * event.mean_us
-            held.drops.add(self.bucket, event.tries, event.dropped, took)
+            met = event.tries, event.dropped, (event.tries - event.dropped) * event.mean_us
+            held.drops.add(self.bucket, *met)
             if self.now >= max(held.eased_us, self.settled_us):
-                held.times.add(self.now // self.ease_us, event.tries, event.dropped, took)
+                held.times.add(self.now // self.ease_us, *met)
             held.heard_us, self.reported = self.now, True
 
     def called(self, event):
@@ -266,18 +276,17 @@
             # What was ejected waits with its second step until it is heard of.
             trial_us = max(TICK_US, 2 * self.bucket_us) if held.relapses else 0
             part = min(part, FIRST_STEP + STEP * max(0, (self.now - held.back_us - trial_us) // TICK_US))
-            if part >= full:
-                held.back_us = None
+            held.back_us = held.back_us if part < full else None
         if not self.warm(held):
-            # Where the fleet drops much, a proxy that shuns failing servers itself sends the rest of its
-            # calls to the few it has left, whatever their weight: then a cold server gets none.
+            # Proxies that shun failing servers themselves send all to those left, whatever their weight.
             if self.answering < CALM and self.get("proxies.ejects_after", 0):
                 return 0.0
             least, age_us = self.get("rules.start_capacity", FIRST_STEP), self.now - held.entry.started_us
-            # In a deep jam, with several times more calls than can be answered, it gets a part of its part.
             sure = least + (1 - least) * max(0, age_us) / self.get("rules.warm_after_us", 1)
-            most = self.get("rules.fall_multiple", DEEP_LOAD) / DEEP_LOAD
-            part = min(part, full * sure * min(1.0, self.answering / DEEP, most / max(self.load, most)))
+            # In a deep jam it gets a part of that, and where the cold would have all calls among themselves.
+            most, few = self.get("rules.fall_multiple", DEEP_LOAD) / DEEP_LOAD, FEW_WARM * self.warm_most
+            part = min(part, full * sure * min(1.0, self.answering / DEEP, most / max(self.load, most))
+                       * min(1.0, self.warm_now / few))
         return part
 
     # Health
@@ -292,8 +301,7 @@
         self.search()
         ready = [held for held in self.servers.values() if self.warm(held)]
         seen = {held: held.drops.sums(self.bucket) for held in ready if not held.eject_until}
-        all_tries = sum(tries for tries, _, _ in seen.values())
-        all_dropped = sum(dropped for _, dropped, _ in seen.values())
+        all_tries, all_dropped = (sum(row[column] for row in seen.values()) for column in (0, 1))
         lately, lost_lately, span_us, lines = self.ended.sums(self.bucket, RECENT)
         self.answering = 1 - lost_lately / max(lately, EJECT_DROPS)
         means = {held: took / (tries - lost) for held, (tries, lost, took) in seen.items() if tries > lost}
@@ -301,13 +309,13 @@
         recent = [held.drops.sums(self.bucket, RECENT) for held in seen]
         times = [took / (tries - lost) for tries, lost, took in recent if tries > lost]
         self.load = median(times or [0]) / self.slo_us
-        age_us = median([self.now - held.heard_us for held in seen] or [0])
-        round_us = max(age_us + self.period_us, span_us / max(1, lines))
+        ages = [self.now - held.heard_us for held in seen] or [0]
+        round_us = max(median(ages) + self.period_us, span_us / max(1, lines))
         # Where drops come in clumps at most servers, as when new connections fail, chance spreads wider.
         usual = min(0.99, all_dropped / max(1, all_tries) + 1e-9)
         odd = [(lost - usual * tries) ** 2 / tries for tries, lost, _ in seen.values() if tries]
         spread = max(1.0, CLUMPED * median(odd or [0]) / usual / (1 - usual))
-        weight, share = sum(held.entry.weight for held in ready), self.shares()
+        weight, laid = sum(held.entry.weight for held in ready), sum(held.laid() for held in seen) or 1.0
         calm = self.load <= JAM and self.answering >= CALM
         out = weight - sum(held.entry.weight for held in seen)
         for held in sorted(seen, key=lambda held: -seen[held][1]):
@@ -321,41 +329,29 @@
             if held.relapses and held.back_us is not None and tries >= TRIAL_TRIES:
                 failing = dropped > tries / 2
             quiet_us = self.now - held.heard_us if held.heard_us else 0
-            due = share[held] * all_tries * quiet_us / (RING * self.bucket_us)
+            due = held.laid() / laid * all_tries * quiet_us / (RING * self.bucket_us)
             if quiet_us > SILENT_PERIODS * round_us and due > SILENT_TRIES and calm:
                 failing = dead = True
             most = 0 if self.load > JAM else DEAD_MOST if dead else EJECT_MOST
             if failing and out + held.entry.weight <= weight * most:
                 out += held.entry.weight
-                held.eject_until = self.now + HOLD_TICKS * TICK_US * 2 ** min(held.relapses, 3)
+                held.eject_until = self.now + TICK_US * 2 ** min(held.relapses, 3)
                 held.relapses, held.back_us = held.relapses + 1, None
 
     def search(self):
-        """What the list dropped stays while it answers, where the rules allow it; else it is gone.
+        """A list may be wrong: what it dropped stays while it answers, where the rules allow it.
 
-        It guards against a list that is wrong, and is the slower to let go of what is truly lost: so what is
-        met at one of them counts for all of them.
+        That is the slower to let go of what is truly lost, so what is met at one of them counts for all.
         """
-        missing = [(held, *held.drops.sums(self.bucket))
-                   for held in self.servers.values() if held.state == MISSING]
-        tries, dropped = sum(row[1] for row in missing), sum(row[2] for row in missing)
-        lost = tries >= TRIAL_TRIES and dropped > tries * max(0.5, EJECT_SHARE + 1 - self.answering)
-        for held, tries, dropped, _ in missing:
-            if lost and dropped >= tries or tries >= TRIAL_TRIES and dropped > tries / 2:
+        missing = {held: held.drops.sums(self.bucket)[:2]
+                   for held in self.servers.values() if held.state == MISSING}
+        worse = max(0.5, 1 - self.answering + EJECT_SHARE)  # in a jam those that answer drop, too
+        tries, dropped = (sum(column) for column in zip((TRIAL_TRIES, 0), *missing.values(), strict=True))
+        lost = dropped > tries * worse
+        for held, (tries, dropped) in missing.items():
+            if lost and dropped == tries or tries >= TRIAL_TRIES and dropped > tries * worse:
                 held.state = GONE
 
-    def shares(self):
-        """By server, the part of all calls that is due to it."""
-        weights, share = defaultdict(float), defaultdict(float)
-        total = sum(table.rate for table in self.tables) or 1.0
-        lines = [(held, table, held.told.get(table.number, 0.0))
-                 for held in self.servers.values() if not held.shut for table in held.tables]
-        for _, table, weight in lines:
-            weights[table] += weight
-        for held, table, weight in lines:
-            share[held] += weight / (weights[table] or 1.0) * table.rate / total
-        return share
-
     def ease(self):
         """Once a tick the machine type, or else the one server, that is overrun most gets a step less.
 
@@ -365,40 +361,33 @@
         cost, chance, kinds = {}, {}, {}
         for held in self.servers.values():
             tries, dropped, took = held.times.sums(self.now // self.ease_us)
-            steady = not held.eject_until and held.back_us is None
-            if self.warm(held) and steady:
-                took += dropped * self.slo_us * 2
-                if tries >= TRIAL_TRIES:
-                    kinds.setdefault(held.entry.machine, []).append((took / tries, tries))
-                if tries >= OVERRUN_TRIES:
-                    cost[held], chance[held] = took / tries, 1 + OVERRUN_SURE * tries ** -0.5
+            if self.warm(held) and tries >= OVERRUN_TRIES and not held.eject_until and held.back_us is None:
+                cost[held] = (took + dropped * self.slo_us * 2) / tries
+                chance[held] = 1 + OVERRUN_SURE * tries ** -0.5
+                kinds.setdefault(held.entry.machine, []).append((cost[held], tries))
         kinds = {kind: median(took for took, _ in rows) for kind, rows in kinds.items()
                  if len(rows) > 1 and sum(tries for _, tries in rows) >= KIND_TRIES}
-        bad, settle_us = OVERRUN_SLO * self.slo_us, max(SETTLE_TICKS * TICK_US, 2 * self.bucket_us)
+        settle_us = max(SETTLE_TICKS * TICK_US, 2 * self.bucket_us)
         worst, best = max(kinds, key=kinds.get, default=None), min(kinds, key=kinds.get, default=None)
         if worst is not None and kinds[worst] > max(KIND_TIME * kinds[best], KIND_SLO * self.slo_us):
             if self.kinds.get(best, 1.0) < 1:
                 self.kinds[best] = min(1.0, self.kinds[best] + EASE_BACK)
             else:
-                self.kinds[worst] = self.step_down(self.kinds.get(worst, 1.0), kinds[best] / kinds[worst])
+                self.kinds[worst] = step_down(self.kinds.get(worst, 1.0), kinds[best] / kinds[worst])
             self.settled_us = self.now + settle_us
             for held in self.servers.values():
                 held.times = Ring(3)
             return
         middle, most = median(cost.values() or [0]), max(1, int(EASE_MANY * len(cost)))
         for held in sorted(cost, key=lambda held: -cost[held] / chance[held])[:most]:
-            if cost[held] > max(middle * max(OVERRUN_TIME, chance[held]), bad):
-                held.health = self.step_down(held.health, middle / cost[held])
+            if cost[held] > max(middle * max(OVERRUN_TIME, chance[held]), OVERRUN_SLO * self.slo_us):
+                held.health = step_down(held.health, middle / cost[held])
                 held.eased_us, held.times = self.now + settle_us, Ring(3)
         for held in cost:
             if held.health < 1 and cost[held] < middle and self.now >= held.eased_us + EASE_TICKS * TICK_US:
                 held.health = min(1.0, held.health + EASE_BACK)
                 held.eased_us = self.now
 
-    @staticmethod
-    def step_down(part, ratio):
-        return max(EASE_LEAST, part * max(EASE_MOST, ratio ** EASE_POWER))
-
     # Levels
 
     def levels(self):
@@ -408,14 +397,12 @@
         goes under a part of what was answered at the start, as fewer calls also mean fewer answers. It is a
         ratio to the usual calls of the joined proxies, as those of a dead director may join.
         """
-        kind = self.get("proxies.admit", "silent")
+        kind, demand = self.get("proxies.admit", "silent"), {route: [] for route in self.routes}
         full = 1.0 if kind == "ratio" else 1e6
-        demand = {route: [] for route in self.routes}
         for proxy in self.proxies.values():
             for route, ring in proxy.calls.items():
                 calls, span_us = ring.sums(self.bucket)
                 demand[route].append(calls / max(1, span_us))
-        total = sum(map(sum, demand.values()))
         usual = sum(proxy.rate for proxy in self.proxies.values()) or 1.0
         pressed = self.load > (THROTTLE if self.answering > CALM else THROTTLE / 2)
         # What joined lately has hardly been reported on: a limit from that would shut out nearly all.
@@ -425,8 +412,8 @@
             return dict.fromkeys(self.routes, full)
         if self.limit is None:
             tries, dropped = self.ended.sums(self.bucket)[:2]
-            self.limit = self.least = (tries - dropped) / (RING * self.bucket_us) / known
-            self.limit_us = self.now + 2 * TICK_US
+            self.least = (tries - dropped) / (RING * self.bucket_us) / known
+            self.limit, self.limit_us = self.least, self.now + 2 * TICK_US
         elif pressed and self.now >= self.limit_us:
             self.limit = max(THROTTLE_LEAST * self.least, THROTTLE_PART * self.limit)
             self.limit_us = self.now + 2 * TICK_US
@@ -435,30 +422,13 @@
         levels, left = {}, self.limit * usual
         for route in sorted(self.routes, key=lambda route: -self.get(f"routes.{route}.importance", 1)):
             wanted = sum(demand[route])
-            if wanted <= left:
-                levels[route] = full
-            elif kind == "ratio":
-                levels[route] = round(left / wanted, 2)
-            else:
-                levels[route] = round(self.even(demand[route], left) * 1e6, 1)
+            level = left / wanted if kind == "ratio" and wanted else even(demand[route], left) * 1e6
+            levels[route] = full if wanted <= left else round(level, 2 if kind == "ratio" else 1)
             left = max(0.0, left - wanted)
-        if self.limit * usual > THROTTLE_RISE * total:
+        if self.limit * usual > THROTTLE_RISE * sum(map(sum, demand.values())):
             self.limit = None
         return levels
 
-    @staticmethod
-    def even(wants, limit):
-        """The level at which those who want more are cut so that all together get no more than the limit.
-
-        >>> Director.even([1, 2, 9], 7)
-        4.0
-        """
-        for done, want in enumerate(sorted(wants)):
-            if want * (len(wants) - done) >= limit:
-                return limit / (len(wants) - done)
-            limit -= want
-        return max(wants)
-
     # The channel
 
     def tokens(self, proxy):
@@ -473,41 +443,74 @@
         return proxy.tokens
 
     def make_tables(self):
-        """One for all; or several of fewer servers, where calls are too few to keep all connections open."""
-        count = int(self.get("proxies.proxy_count", 0) / self.get("directors", 1) / SHARERS)
-        lines, servers = LINES * self.get("proxies.default_size", 1e9), max(1, len(self.servers))
-        self.copies = max(COPIES, ceil(count * lines / servers))
+        """One for all, or several; by settings and list alone, so that the next director has the same."""
+        self.groups = {held.entry.zone: [] for held in self.servers.values()} or {None: []}
+        lines, count = LINES * self.get("proxies.default_size", 1e9), self.expected / SHARERS
+        enough = min(len(self.servers) / lines, count) >= len(self.groups)
+        if not enough or self.get("penalties.cross_zone", 0) < FAR_PRICE:
+            self.groups, count = {None: []}, count / self.directors
+        count = int(count / len(self.groups))
+        self.copies = max(COPIES, round(count * lines * len(self.groups) / max(1, len(self.servers))))
         if self.copies >= count:
             count = self.copies = 1
-        self.tables = [Table(number) for number in range(count)]
+        for zone, group in sorted(self.groups.items()):
+            group += [Table(len(self.tables) + number, zone) for number in range(count)]
+            self.tables += group
+
+    def spill(self):
+        """By zone, at what part of their weight its tables use servers of other zones: none, if it can do."""
+        usable, wanted = defaultdict(float), defaultdict(float)
+        for held in self.servers.values():
+            usable[held.entry.zone] += held.laid()
+        for proxy in self.proxies.values():
+            wanted[proxy.zone] += proxy.rate
+        per_proxy = sum(wanted.values()) / max(1, len(self.proxies)) or 1.0
+        for zone in self.groups:
+            own = self.get("proxies.by_zone", False) and zone == self.get("zone", 0)
+            part = wanted[zone] * (1 if own else self.directors) / per_proxy
+            part *= sum(usable.values()) / max(1, self.expected) / max(usable[zone], 1e-9)
+            far = min(1.0, max(0.0, part - 1))
+            if abs(far - self.far.setdefault(zone, 0.0)) > FAR_STEP:
+                self.far[zone] = round(far / FAR_STEP) * FAR_STEP
+
+    def home(self, proxy):
+        group = self.groups.get(proxy.zone) or self.tables
+        return group[proxy.number % len(group)]
+
+    def is_far(self, held, table):
+        return table.zone not in (None, held.entry.zone)
+
+    def weight(self, held, table):
+        return held.laid() * (self.far[table.zone] if self.is_far(held, table) else 1)
 
     def deal(self):
         """Put each server on its tables, those with the least of its type; fill up a table that got thin."""
-        weights, fresh = defaultdict(float), []  # by table and type; None: what is usable
+        weights, fresh = defaultdict(float), []  # by table, type and if far; by table alone: what is usable
         for held in self.servers.values():
-            if held.state == GONE and held.shut and not any(held.told.values()):
-                held.tables, held.told = [], {}
+            if held.state == GONE and held.shut and not held.told:
+                held.tables = []
             elif held.state == READY and not held.tables:
                 fresh.append(held)
             for table in held.tables:
-                weights[table, held.entry.machine] += held.entry.weight * (held.state != GONE)
-                weights[table, None] += held.entry.weight * held.part
+                kind = held.entry.machine, self.is_far(held, table)
+                weights[table, kind] += held.entry.weight * (held.state != GONE)
+                weights[table] += self.weight(held, table)
         for held in sorted(fresh, key=lambda held: (held.entry.machine, self.draw(held, 0))):
-            kind, weight = held.entry.machine, held.entry.weight
-            held.tables = sorted(self.tables, key=lambda table: (
-                weights[table, kind], self.draw(held, table.number)))[:self.copies]
-            for table in held.tables:
-                weights[table, kind] += weight
-                weights[table, None] += weight * held.part
-        usable = [held for held in self.servers.values() if held.part > 0]
-        mean = sum(weights[table, None] for table in self.tables) / max(1, len(self.tables))
-        for table in self.tables if self.copies < len(self.tables) else ():
-            others = [held for held in usable if table not in held.tables]
+            for kind in ((held.entry.machine, False), (held.entry.machine, True)):
+                group = [table for table in self.tables if self.is_far(held, table) == kind[1]]
+                group.sort(key=lambda table: (weights[table, kind], self.draw(held, table.number)))
+                for table in group[:self.copies]:
+                    held.tables.append(table)
+                    weights[table, kind] += held.entry.weight
+                    weights[table] += self.weight(held, table)
+        mean = sum(weights[table] for table in self.tables) / max(1, len(self.tables))
+        for table in self.tables if len(self.tables) > 1 else ():
+            others = [held for held in self.servers.values() if held.part > 0 and table not in held.tables]
             others.sort(key=lambda held: (held.part, -len(held.tables), self.draw(held, table.number)))
-            while others and weights[table, None] < THIN * mean:
+            while others and weights[table] < THIN * mean:
                 held = others.pop()
-                held.tables = [*held.tables, table]
-                weights[table, None] += held.entry.weight * held.part
+                held.tables.append(table)
+                weights[table] += self.weight(held, table) or mean  # or it would use them already
 
     def draw(self, held, number):
         return crc32(b"%d %s" % (number, repr(held.entry.address).encode()))
@@ -532,13 +535,17 @@
         warm = [held for held in self.servers.values() if self.warm(held)]
         for held in warm if all(held.eject_until for held in warm) else ():
             held.eject_until = 0  # the rest has left the list since: any line beats none
-        if not self.tables and self.proxies:
+        if not self.tables:
             self.make_tables()
         if self.now >= self.next_tick:
             self.tick()
-            self.due = list(self.servers.values())
+        self.warm_now = sum(held.entry.weight for held in warm if not held.eject_until) or self.warm_most
+        self.warm_most = max(self.warm_now, self.warm_most)
         for held in self.servers.values():
             held.part = self.percentage(held)
+        for proxy in self.loose.proxies.values():
+            self.home(proxy).used = True
+        self.spill()
         self.deal()
         closing = [held for held in self.servers.values() if held.part <= 0 and not held.shut]
         for held in sorted(closing, key=lambda held: held.state == READY):
@@ -548,24 +555,30 @@
                 held.shut, held.told = True, {} if gone else held.told
         served = {number for held in self.servers.values() if not held.shut for number in held.told}
         for held in self.servers.values():
-            if any(table.number not in served for table in held.tables):
+            if any(table.used and table.number not in served for table in held.tables):
                 self.change(held, 1, 0)
+        for table in [table for table in self.tables if table.used]:
+            news = [route for route in self.routes if table.said.get(route) != self.let_in[route]]
+            orders = [api.Admit(table.number, 1 << route, self.let_in[route], api.NO_RETRY) for route in news]
+            if news and self.put(orders, [table], len(news), 2, 0):
+                table.said.update(self.let_in)
         self.due = [held for held in self.due if not self.change(held, 2, keep)]
         self.bind(keep)
 
     def change(self, held, least, keep):
         """Tell the tables of a server its weight, if that is news and there is room."""
-        address, weight = held.entry.address, held.entry.weight * held.part
-        stale = [table for table in held.tables if held.told.get(table.number) != weight]
+        address, tables = held.entry.address, [table for table in held.tables if table.used]
+        weights = {table.number: self.weight(held, table) for table in tables}
+        stale = [table for table in tables if held.told.get(table.number, 0) != weights[table.number]]
         if not held.part or not stale and not held.shut:
             return True
-        orders = [api.SetLine(table.number, address, weight) for table in stale]
+        orders = [api.SetLine(table.number, address, weights[table.number]) for table in stale]
         if held.shut:
             orders.append(api.Withdraw(address, False))
-        concerned = [*held.tables, self.loose] if held.shut else stale
+        concerned = [*tables, self.loose] if held.shut else stale
         if not self.put(orders, concerned, 1 + held.shut, least, keep):
             return False
-        held.shut, held.told = False, dict.fromkeys((table.number for table in held.tables), weight)
+        held.shut, held.told = False, {number: weight for number, weight in weights.items() if weight}
         return True
 
     def bind(self, keep):
@@ -575,7 +588,7 @@
             for number in held.told:
                 sizes[number] += 1 + held.shut
         for number, proxy in sorted(self.loose.proxies.items(), key=lambda item: (-item[1].rate, item[0])):
-            table = self.tables[number % len(self.tables)]
+            table = self.home(proxy)
             lines = head + 1 + len(table.said) + sizes[table.number]
             if self.spare - keep >= lines and self.tokens(proxy) >= 1:
                 self.orders.append(api.Bind(table.number, api.ALL_ROUTES, number))
@@ -599,17 +612,12 @@
 
     def tick(self):
         """What is looked at once a tick."""
-        self.next_tick = self.now + TICK_US
+        self.next_tick, self.due = self.now + TICK_US, list(self.servers.values())
         for held in self.servers.values():
             if held.eject_until and self.now >= held.eject_until:
                 held.eject_until, held.back_us, held.heard_us, held.drops = 0, self.now, 0, Ring(3)
         self.ease()
-        levels = self.levels()
-        for table in self.tables:
-            news = [route for route in self.routes if table.said.get(route) != levels[route]]
-            orders = [api.Admit(table.number, 1 << route, levels[route], api.NO_RETRY) for route in news]
-            if news and self.put(orders, [table], len(news), 2, 0):
-                table.said.update((route, levels[route]) for route in news)
+        self.let_in = self.levels()
 
     def keep_slices(self):
         """Slices stay where they are; one that has lost its server goes to another, by weight and chance."""
