Binds go before ramp steps; a weight that falls by more than half is written at once

Binds now go first and may use three quarters of the queue; ramp steps wait while a proxy is unbound. A weight that falls by more than half is now written at once.

--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -40,7 +40,6 @@
 JAM = 0.6  # so is a fleet whose middle time is this part of the SLO time
 
 EJECT_DROPS, EJECT_SHARE, SURE = 4, 0.3, 3  # drops, share above the others', deviations that eject
-CLUMPED = 2.2  # the mean of squared deviations over their median, where they come by chance
 QUICK = 2  # what answers the rest within this multiple of the fleet's time is broken, not overrun
 SILENT_TRIES, SILENT_PERIODS = 8, 2  # silent: so many tries were due over so many rounds, and none ended
 EJECT_MOST, DEAD_MOST = 0.34, 0.6  # parts of the listed weight: ejected at most; and if it answers nothing
@@ -158,11 +157,13 @@
         return self.settings.get(name, default)
 
     def start(self, event):
-        self.settings, self.seed = event.settings, event.seed
-        self.servers, self.proxies, self.slices = {}, {}, {}
-        self.tables, self.groups, self.far, self.loose, self.due = [], {}, {}, Table(None), []
-        self.copies, self.ease_us = 1, EASE_US  # tables that hold a server; buckets of what eases
-        self.mark, self.next_tick, self.next_beat, self.waiting = 0, self.now, self.now, 0
+        self.settings = event.settings
+        self.servers, self.proxies, self.slices, self.far = {}, {}, {}, {}
+        self.tables, self.loose, self.due = [], Table(None), []
+        self.ease_us = EASE_US  # buckets of what eases
+        self.mark, self.next_tick, self.next_beat = 0, self.now, self.now
+        self.waiting, self.written = 0, []  # lines that no proxy has answered; what is written in this step
+        self.head = self.get("proxies.head", 0) + 1  # lines of a message beside its own, its mark too
         self.period_us = self.bucket_us = self.get("proxies.report_every_us", TICK_US)
         self.expected, self.directors = self.get("proxies.proxy_count", 0), self.get("directors", 1)
         self.routes = range(self.get("routes.count", 0))
@@ -311,10 +312,6 @@
         self.load = median(times or [0]) / self.slo_us
         ages = [self.now - held.heard_us for held in seen] or [0]
         round_us = max(median(ages) + self.period_us, span_us / max(1, lines))
-        # Where drops come in clumps at most servers, as when new connections fail, chance spreads wider.
-        usual = min(0.99, all_dropped / max(1, all_tries) + 1e-9)
-        odd = [(lost - usual * tries) ** 2 / tries for tries, lost, _ in seen.values() if tries]
-        spread = max(1.0, CLUMPED * median(odd or [0]) / usual / (1 - usual))
         weight, laid = sum(held.entry.weight for held in ready), sum(held.laid() for held in seen) or 1.0
         calm = self.load <= JAM and self.answering >= CALM
         out = weight - sum(held.entry.weight for held in seen)
@@ -323,7 +320,7 @@
             usual = max(0, all_dropped - dropped) / max(1, all_tries - tries)
             excess = dropped - usual * tries
             dead = dropped == tries > 0
-            sure = excess > SURE * ((1 if dead else spread) * tries * usual * (1 - usual) + 1) ** 0.5
+            sure = excess > SURE * (tries * usual * (1 - usual) + 1) ** 0.5
             quick = means.get(held, 0) < min(QUICK * middle, self.slo_us)
             failing = sure and dropped >= EJECT_DROPS and excess > EJECT_SHARE * tries and (quick or dead)
             if held.relapses and held.back_us is not None and tries >= TRIAL_TRIES:
@@ -485,6 +482,8 @@
 
     def deal(self):
         """Put each server on its tables, those with the least of its type; fill up a table that got thin."""
+        for proxy in self.loose.proxies.values():
+            self.home(proxy).used = True
         weights, fresh = defaultdict(float), []  # by table, type and if far; by table alone: what is usable
         for held in self.servers.values():
             if held.state == GONE and held.shut and not held.told:
@@ -517,8 +516,7 @@
 
     def put(self, orders, tables, lines, least, keep):
         """Give orders of so many lines for some tables if the queue and the proxies' allowance have room."""
-        head = self.get("proxies.head", 0) + 1
-        cost = sum(len(table.proxies) * (lines + (0 if table.lines else head)) for table in tables)
+        cost = sum(len(table.proxies) * (lines + (0 if table.lines else self.head)) for table in tables)
         fresh = [proxy for table in tables if not table.lines for proxy in table.proxies.values()]
         if cost > self.spare - keep or any(self.tokens(proxy) < least for proxy in fresh):
             return False
@@ -543,8 +541,6 @@
         self.warm_most = max(self.warm_now, self.warm_most)
         for held in self.servers.values():
             held.part = self.percentage(held)
-        for proxy in self.loose.proxies.values():
-            self.home(proxy).used = True
         self.spill()
         self.deal()
         closing = [held for held in self.servers.values() if held.part <= 0 and not held.shut]
@@ -555,15 +551,19 @@
                 held.shut, held.told = True, {} if gone else held.told
         served = {number for held in self.servers.values() if not held.shut for number in held.told}
         for held in self.servers.values():
-            if any(table.used and table.number not in served for table in held.tables):
+            # Laid before a jam was known, a cold server must not wait for the tick to get much less.
+            less = max(held.told.values(), default=0.0) > 2 * held.laid()
+            if less or any(table.used and table.number not in served for table in held.tables):
                 self.change(held, 1, 0)
         for table in [table for table in self.tables if table.used]:
             news = [route for route in self.routes if table.said.get(route) != self.let_in[route]]
             orders = [api.Admit(table.number, 1 << route, self.let_in[route], api.NO_RETRY) for route in news]
             if news and self.put(orders, [table], len(news), 2, 0):
                 table.said.update(self.let_in)
-        self.due = [held for held in self.due if not self.change(held, 2, keep)]
-        self.bind(keep)
+        self.bind(keep / 2)
+        # The rules wait for binds, not for ramps: what a loose proxy holds may have drained meanwhile.
+        self.due = [held for held in self.due if self.loose.proxies or not self.change(held, 2, keep)]
+        self.seal()
 
     def change(self, held, least, keep):
         """Tell the tables of a server its weight, if that is news and there is room."""
@@ -582,33 +582,34 @@
         return True
 
     def bind(self, keep):
-        """Put loose proxies on their tables, the busiest first; then mark what was written."""
-        head, sizes, reached = self.get("proxies.head", 0) + 1, defaultdict(int), []
+        """Put loose proxies on their tables, the busiest first."""
+        sizes = defaultdict(int)
         for held in self.servers.values():
             for number in held.told:
                 sizes[number] += 1 + held.shut
         for number, proxy in sorted(self.loose.proxies.items(), key=lambda item: (-item[1].rate, item[0])):
             table = self.home(proxy)
-            lines = head + 1 + len(table.said) + sizes[table.number]
+            lines = self.head + 1 + len(table.said) + sizes[table.number]
             if self.spare - keep >= lines and self.tokens(proxy) >= 1:
                 self.orders.append(api.Bind(table.number, api.ALL_ROUTES, number))
                 self.spare -= lines
                 proxy.table = table
                 table.rate += proxy.rate
-                reached.append((proxy, lines + self.loose.lines))
-                del self.loose.proxies[number]
+                self.written.append((proxy, lines + self.loose.lines))
+                table.proxies[number] = self.loose.proxies.pop(number)
+
+    def seal(self):
+        """Mark what was written in this step; it waits in the channel until a proxy has answered."""
         for table in (*self.tables, self.loose):
-            if table.lines:
-                reached += [(proxy, table.lines + head) for proxy in table.proxies.values()]
-                table.lines = 0
-        self.mark = (self.mark + bool(reached)) % 65536
-        self.orders += [api.Mark(self.mark, False)] if reached else []
-        for proxy, lines in reached:
+            lines, table.lines = table.lines and table.lines + self.head, 0
+            self.written += [(proxy, lines) for proxy in table.proxies.values() if lines]
+        self.mark = (self.mark + bool(self.written)) % 65536
+        self.orders += [api.Mark(self.mark, False)] if self.written else []
+        for proxy, lines in self.written:
             proxy.unread.append((self.mark, lines))
             self.waiting += lines
             proxy.tokens -= 1
-            if proxy.table:
-                proxy.table.proxies[proxy.number] = proxy
+        self.written = []
 
     def tick(self):
         """What is looked at once a tick."""
