A proxy bound in the step that lays its table is counted once

The lines of a table that had no proxy yet were counted for the proxies bound in the same step, which held the next binds and withdrawals back.

--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -523,7 +523,7 @@
         self.spare -= cost
         self.orders += orders
         for table in tables:
-            table.lines += lines
+            table.lines += lines if table.proxies else 0
         return True
 
     def lay(self):
