--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -299,12 +299,12 @@
         cause. In a jam a full server and a dead one look alike, and each one less deepens it: nobody goes.
         """
         self.reported, self.urgent = False, True
+        lately, lost_lately, span_us, lines = self.ended.sums(self.bucket, RECENT)
+        self.answering = 1 - lost_lately / max(lately, EJECT_DROPS)
         self.search()
         ready = [held for held in self.servers.values() if self.warm(held)]
         seen = {held: held.drops.sums(self.bucket) for held in ready if not held.eject_until}
         all_tries, all_dropped = (sum(row[column] for row in seen.values()) for column in (0, 1))
-        lately, lost_lately, span_us, lines = self.ended.sums(self.bucket, RECENT)
-        self.answering = 1 - lost_lately / max(lately, EJECT_DROPS)
         means = {held: took / (tries - lost) for held, (tries, lost, took) in seen.items() if tries > lost}
         middle = median(means.values() or [0])
         recent = [held.drops.sums(self.bucket, RECENT) for held in seen]
--- a/tests/play.py
+++ b/tests/play.py
@@ -8,13 +8,15 @@
     set NAME=VALUE ...        settings, before the start
     MS: start | cached a b | full a b | list a:drain     a director starts; the list as cached, whole, changes
     MS: join P [RATE [ZONE]] | left P | deaf P           a proxy joins or leaves; it answers no mark any more
-    MS: met a TRIES DROPPED [MEAN_MS [ZONE]]             a report of what the proxies met at a server
+    MS: met a TRIES DROPPED [MEAN_MS [SPAN_MS]]          a report of what the proxies met at a server
     MS: calls P ROUTE N                                  a report of what came to a proxy in the last second
     MS: probed a OUTCOME                                 a probe's end, by the interface's number
     MS: stall MS2                                        no batch before MS2; then all at once
     see ORDER...              this order was given since the last batch line began, ``*``: anything
     not ORDER...              none like this was given
     picks P a b               what proxy P may pick: the lines of its table that are not withdrawn
+    lines P N                 how many it may pick
+    keeps P                   it may pick what it could at the last such check (the first one only notes it)
     part a 0.25               the weight of a's line over its listed weight
     messages N MS             no proxy was written more than N messages within MS
 """
@@ -33,7 +35,7 @@
     def __init__(self):
         self.settings = {"routes.count": 1, "routes.0.slo_time_us": 500_000}
         self.director, self.now, self.blocked = Director(), 0, 0
-        self.bells, self.listed, self.seen = [], {}, []
+        self.bells, self.listed, self.seen, self.kept = [], {}, [], {}
         self.joined, self.table, self.shut, self.writes, self.deaf = {}, {}, set(), {}, set()
 
     def server(self, word):
@@ -61,8 +63,8 @@
             del self.joined[int(words[0])]
             return api.ProxyLeft(int(words[0]))
         if verb == "met":
-            tries, dropped, mean, zone = (*map(int, words[1:]), *(50, 0)[len(words) - 3:])
-            return api.ServerMet(words[0], zone, tries, dropped, mean * 1000, 1_000_000, ())
+            tries, dropped, mean, span = (*map(int, words[1:]), *(50, 1000)[len(words) - 3:])
+            return api.ServerMet(words[0], 0, tries, dropped, mean * 1000, span * 1000, ())
         if verb == "calls":
             return api.ProxyMet(*map(int, words), 0, 1_000_000)
         assert verb == "probed", f"no event is called {verb}"
@@ -123,9 +125,14 @@
             assert fnmatch.filter(self.seen, " ".join(words)), self.seen
         elif verb == "not":
             assert not fnmatch.filter(self.seen, " ".join(words)), self.seen
-        elif verb == "picks":
+        elif verb in ("picks", "lines", "keeps"):
             lines = self.table.get(self.joined[int(words[0])], {})
-            assert set(lines) - self.shut == set(words[1:]), (lines, self.shut)
+            open_now = set(lines) - self.shut
+            if verb == "lines":
+                assert len(open_now) == int(words[1]), open_now
+            else:
+                wanted = set(words[1:]) if verb == "picks" else self.kept.setdefault(words[0], open_now)
+                assert open_now == wanted, (lines, self.shut, wanted)
         elif verb == "part":
             found = [lines[words[0]] for lines in self.table.values() if words[0] in lines]
             wanted = float(words[1]) * self.listed[words[0]].weight
@@ -145,7 +152,7 @@
     >>> play("0: start; cached a b; join 1 \\n picks 1 a b \\n not withdraw *")
     >>> play("0: start; cached a b; join 1 \\n picks 1 a")
     Traceback (most recent call last):
-    AssertionError: line 2 (picks 1 a): ({'a': 1.0, 'b': 1.0}, set())
+    AssertionError: line 2 (picks 1 a): ({'a': 1.0, 'b': 1.0}, set(), {'a'})
     """
     scene = Play()
     for number, raw in enumerate(text.splitlines(), 1):
