Throttle sooner as answers get fewer, and rise slowly past what was too much

Now the middle time that throttles falls with the share answered (half of the SLO time at 100%, a quarter at 75%), and beyond the last limit that was too much, for each warm server, it rises by 2% a tick. It should hold against any load that stays above capacity; it could keep calls out for long where capacity comes back without new servers.

--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -52,8 +52,8 @@
 EASE_POWER, EASE_MOST, EASE_LEAST = 0.33, 0.5, 0.3  # the root of that ratio is taken; a step at most; in all
 SETTLE_TICKS, EASE_TICKS, EASE_BACK = 2, 8, 0.125  # before it is judged again; before it climbs, and by what
 
-THROTTLE = 0.5  # from this middle time on, as a part of the SLO time, calls are throttled
-THROTTLE_PART, THROTTLE_RISE, THROTTLE_LEAST = 0.9, 1.1, 0.6  # what is let in falls and rises so; its least
+THROTTLE, THROTTLE_LEAST = 0.5, 0.6  # calls are throttled from this part of the SLO time; the least let in
+THROTTLE_PART, THROTTLE_RISE, THROTTLE_NEAR = 0.9, 1.1, 1.02  # it falls and rises so; past what was too much
 
 
 def step_down(part, ratio):
@@ -160,11 +160,10 @@
         self.settings = event.settings
         self.servers, self.proxies, self.slices, self.far = {}, {}, {}, {}
         self.tables, self.loose, self.due = [], Table(None), []
-        self.ease_us = EASE_US  # buckets of what eases
         self.mark, self.next_tick, self.next_beat = 0, self.now, self.now
         self.waiting, self.written = 0, []  # lines that no proxy has answered; what is written in this step
         self.head = self.get("proxies.head", 0) + 1  # lines of a message beside its own, its mark too
-        self.period_us = self.bucket_us = self.get("proxies.report_every_us", TICK_US)
+        self.period_us = self.bucket_us = self.ease_us = self.get("proxies.report_every_us", TICK_US)
         self.expected, self.directors = self.get("proxies.proxy_count", 0), self.get("directors", 1)
         self.routes = range(self.get("routes.count", 0))
         self.slo_us = min((self.get(f"routes.{route}.slo_time_us", 1) for route in self.routes), default=1)
@@ -173,6 +172,7 @@
         self.load, self.answering = 0.0, 1.0  # middle time over SLO time; share answered
         self.kinds, self.settled_us = {}, 0  # the part of machine types that are eased
         self.limit, self.limit_us = None, 0  # calls let in, for each call that proxies usually get
+        self.high = 1.0  # the last limit that was too much, by warm weight
         self.orders += [api.Subscribe(True)] if self.get("discovery", "pushed") == "on_request" else []
 
     # What is heard
@@ -401,7 +401,7 @@
                 calls, span_us = ring.sums(self.bucket)
                 demand[route].append(calls / max(1, span_us))
         usual = sum(proxy.rate for proxy in self.proxies.values()) or 1.0
-        pressed = self.load > (THROTTLE if self.answering > CALM else THROTTLE / 2)
+        pressed = self.load > THROTTLE * max(0.5, 2 * self.answering - 1)
         # What joined lately has hardly been reported on: a limit from that would shut out nearly all.
         since_us = self.now - (RING + RECENT) * self.bucket_us
         known = sum(proxy.rate for proxy in self.proxies.values() if proxy.joined_us <= since_us)
@@ -409,13 +409,14 @@
             return dict.fromkeys(self.routes, full)
         if self.limit is None:
             tries, dropped = self.ended.sums(self.bucket)[:2]
-            self.least = (tries - dropped) / (RING * self.bucket_us) / known
-            self.limit, self.limit_us = self.least, self.now + 2 * TICK_US
+            self.limit = self.least = (tries - dropped) / (RING * self.bucket_us) / known
+            self.limit_us = self.now + 2 * TICK_US
         elif pressed and self.now >= self.limit_us:
+            self.high, self.limit_us = self.limit / self.warm_now, self.now + 2 * TICK_US
             self.limit = max(THROTTLE_LEAST * self.least, THROTTLE_PART * self.limit)
-            self.limit_us = self.now + 2 * TICK_US
         elif not pressed:
-            self.limit *= THROTTLE_RISE if self.load > THROTTLE / 2 else THROTTLE_RISE ** 3
+            rise = THROTTLE_RISE if self.load > THROTTLE / 2 else THROTTLE_RISE ** 3
+            self.limit *= rise if self.limit < self.high * self.warm_now else THROTTLE_NEAR
         levels, left = {}, self.limit * usual
         for route in sorted(self.routes, key=lambda route: -self.get(f"routes.{route}.importance", 1)):
             wanted = sum(demand[route])
@@ -520,8 +521,7 @@
         fresh = [proxy for table in tables if not table.lines for proxy in table.proxies.values()]
         if cost > self.spare - keep or any(self.tokens(proxy) < least for proxy in fresh):
             return False
-        self.spare -= cost
-        self.orders += orders
+        self.spare, self.orders = self.spare - cost, self.orders + orders
         for table in tables:
             table.lines += lines if table.proxies else 0
         return True
