Ejections leave a message to drains; what was ejected waits for the tick; only holders are asked

An ejection or ramp step now needs two messages in hand, a drain one; a server that comes back is not taken for one whose weight fell by half; the allowance of proxies whose tables do not hold the server is not asked; bursts are 0.4 of the cap. It makes ejections up to 1.5 s later where the cap is tight.

--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -32,7 +32,7 @@
 COPIES, THIN = 2, 0.5  # tables that hold a server, at least; a table under this part of the mean gets more
 
 ROOM = 0.5  # binds and ramp steps leave this part of the channel's queue to withdrawals
-BURST = 0.25  # of the messages that a proxy may be written, this part may go out at once
+BURST = 0.4  # of the messages that a proxy may be written, this part may go out at once
 
 DEEP_LOAD = 2.7  # cold servers get less from this part of the fall multiple on, as middle time in SLO times
 DEEP, CALM = 0.35, 0.7  # a fleet that answers less than this share of its tries is in a jam, deep or not
@@ -115,8 +115,7 @@
 
     def __init__(self, number, zone=None):
         self.number, self.zone, self.used = number, zone, False
-        self.proxies, self.said = {}, {}  # who is bound; levels by route, as told
-        self.rate, self.lines = 0.0, 0  # calls that its proxies usually get; lines for each in this step
+        self.proxies, self.said, self.lines = {}, {}, 0  # who is bound; levels as told; lines in this step
 
 
 class Proxy:
@@ -222,8 +221,6 @@
         if proxy:
             self.waiting -= sum(lines for _, lines in proxy.unread)
             (proxy.table or self.loose).proxies.pop(event.proxy)
-            if proxy.table:
-                proxy.table.rate -= proxy.rate
 
     def applied(self, event):
         proxy = self.proxies.get(event.proxy)
@@ -547,12 +544,14 @@
         for held in sorted(closing, key=lambda held: held.state == READY):
             gone, orders = held.state == GONE, [api.Withdraw(held.entry.address, True)]
             orders += [api.SetLine(number, held.entry.address, 0.0) for number in held.told if gone]
-            if self.put(orders, [*held.tables, self.loose], 1 + gone, 1, 0):
+            tables = [table for table in held.tables if table.number in held.told] + [self.loose]
+            # An ejection leaves one message to what the rules may ask for next.
+            if self.put(orders, tables, 1 + gone, 1 + (held.state == READY), 0):
                 held.shut, held.told = True, {} if gone else held.told
         served = {number for held in self.servers.values() if not held.shut for number in held.told}
         for held in self.servers.values():
             # Laid before a jam was known, a cold server must not wait for the tick to get much less.
-            less = max(held.told.values(), default=0.0) > 2 * held.laid()
+            less = not held.shut and max(held.told.values(), default=0.0) > 2 * held.laid()
             if less or any(table.used and table.number not in served for table in held.tables):
                 self.change(held, 1, 0)
         for table in [table for table in self.tables if table.used]:
@@ -567,18 +566,20 @@
 
     def change(self, held, least, keep):
         """Tell the tables of a server its weight, if that is news and there is room."""
-        address, tables = held.entry.address, [table for table in held.tables if table.used]
-        weights = {table.number: self.weight(held, table) for table in tables}
-        stale = [table for table in tables if held.told.get(table.number, 0) != weights[table.number]]
+        address, told = held.entry.address, {}
+        for table in held.tables:
+            if table.used and (weight := self.weight(held, table)):
+                told[table.number] = weight
+        stale = [table for table in held.tables if told.get(table.number) != held.told.get(table.number)]
         if not held.part or not stale and not held.shut:
             return True
-        orders = [api.SetLine(table.number, address, weights[table.number]) for table in stale]
+        orders = [api.SetLine(table.number, address, told.get(table.number, 0.0)) for table in stale]
         if held.shut:
             orders.append(api.Withdraw(address, False))
-        concerned = [*tables, self.loose] if held.shut else stale
-        if not self.put(orders, concerned, 1 + held.shut, least, keep):
+            stale = [table for table in held.tables if table.number in told or table in stale] + [self.loose]
+        if not self.put(orders, stale, 1 + held.shut, least, keep):
             return False
-        held.shut, held.told = False, {number: weight for number, weight in weights.items() if weight}
+        held.shut, held.told = False, told
         return True
 
     def bind(self, keep):
@@ -594,7 +595,6 @@
                 self.orders.append(api.Bind(table.number, api.ALL_ROUTES, number))
                 self.spare -= lines
                 proxy.table = table
-                table.rate += proxy.rate
                 self.written.append((proxy, lines + self.loose.lines))
                 table.proxies[number] = self.loose.proxies.pop(number)
 
