A server that drops nearly all beside a calm fleet is ejected; the throttle asks the typical server too

Now what drops over 0.85 of its tries while the fleet is calm is ejected, however slow its answers; and the throttle goes by the share answered at the typical server as much as by all. Against: any few servers that are far worse than the rest.

--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -40,7 +40,7 @@
 JAM = 0.6  # so is a fleet whose middle time is this part of the SLO time
 
 EJECT_DROPS, EJECT_SHARE, SURE = 4, 0.3, 3  # drops, share above the others', deviations that eject
-QUICK = 2  # what answers the rest within this multiple of the fleet's time is broken, not overrun
+QUICK, LOST = 2, 0.85  # broken, not overrun: answers the rest in such times the fleet's, or drops so
 SILENT_TRIES, SILENT_PERIODS = 8, 2  # silent: so many tries were due over so many rounds, and none ended
 EJECT_MOST, DEAD_MOST = 0.34, 0.6  # parts of the listed weight: ejected at most; and if it answers nothing
 TRIAL_TRIES = 3  # back on the ramp it goes again if it drops more than half of so many tries
@@ -139,8 +139,7 @@
             self.start(events[0])
         self.bucket = now // self.bucket_us
         for event in events:
-            hear = self.HEAR.get(type(event))
-            if hear:
+            if hear := self.HEAR.get(type(event)):
                 hear(self, event)
         if now >= self.next_beat:
             self.next_beat, self.urgent = now + BEAT_US, True
@@ -168,10 +167,9 @@
         self.slo_us = min((self.get(f"routes.{route}.slo_time_us", 1) for route in self.routes), default=1)
         self.ended, self.reported = Ring(4), False  # anywhere: tries, dropped ones; reports' spans, how many
         self.warm_now = self.warm_most = 1e-9  # listed weight of the warm servers in use; the most it was
-        self.load, self.answering = 0.0, 1.0  # middle time over SLO time; share answered
+        self.load, self.answering, self.typical = 0.0, 1.0, 1.0  # middle time over SLO time; shares answered
         self.kinds, self.settled_us = {}, 0  # the part of machine types that are eased
-        self.limit, self.limit_us = None, 0  # calls let in, for each call that proxies usually get
-        self.high = 1.0  # the last limit that was too much, by warm weight
+        self.limit, self.limit_us, self.high = None, 0, 1.0  # calls let in for each usual one; too many
         self.orders += [api.Subscribe(True)] if self.get("discovery", "pushed") == "on_request" else []
 
     # What is heard
@@ -307,6 +305,7 @@
         recent = [held.drops.sums(self.bucket, RECENT) for held in seen]
         times = [took / (tries - lost) for tries, lost, took in recent if tries > lost]
         self.load = median(times or [0]) / self.slo_us
+        self.typical = 1 - median([lost / tries for tries, lost, _ in recent if tries] or [0])
         ages = [self.now - held.heard_us for held in seen] or [0]
         round_us = max(median(ages) + self.period_us, span_us / max(1, lines))
         weight, laid = sum(held.entry.weight for held in ready), sum(held.laid() for held in seen) or 1.0
@@ -319,7 +318,8 @@
             dead = dropped == tries > 0
             sure = excess > SURE * (tries * usual * (1 - usual) + 1) ** 0.5
             quick = means.get(held, 0) < min(QUICK * middle, self.slo_us)
-            failing = sure and dropped >= EJECT_DROPS and excess > EJECT_SHARE * tries and (quick or dead)
+            lost = quick or dead or calm and dropped > LOST * tries  # to all who ask, not just overrun
+            failing = sure and dropped >= EJECT_DROPS and excess > EJECT_SHARE * tries and lost
             if held.relapses and held.back_us is not None and tries >= TRIAL_TRIES:
                 failing = dropped > tries / 2
             quiet_us = self.now - held.heard_us if held.heard_us else 0
@@ -398,7 +398,7 @@
                 calls, span_us = ring.sums(self.bucket)
                 demand[route].append(calls / max(1, span_us))
         usual = sum(proxy.rate for proxy in self.proxies.values()) or 1.0
-        pressed = self.load > THROTTLE * max(0.5, 2 * self.answering - 1)
+        pressed = self.load > THROTTLE * max(0.5, self.answering + self.typical - 1)
         # What joined lately has hardly been reported on: a limit from that would shut out nearly all.
         since_us = self.now - (RING + RECENT) * self.bucket_us
         known = sum(proxy.rate for proxy in self.proxies.values() if proxy.joined_us <= since_us)
