A table of cold lines alone gets warm ones at once

Now a table without a warm line gets its warm members in the same batch. It guards against any mass restart; it costs a message to each proxy of the table.

--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -95,16 +95,15 @@
 
     def __init__(self, entry):
         self.entry, self.state = entry, GONE
-        self.shut, self.told, self.part = False, {}, 0.0  # as proxies were told: weight by table; percentage
-        self.tables = []  # that hold it
+        self.tables, self.part = [], 0.0  # that hold it; its percentage
+        self.shut, self.told = False, {}  # as proxies were told: if withdrawn; its weight by table
         self.fresh()
 
     def fresh(self):
         """It has just started: what was held against it is void."""
         self.drops, self.times = Ring(3), Ring(3)  # tries, dropped ones, microseconds of the answered ones
-        self.back_us = None  # when its ramp began, after a drain or an ejection
-        self.eject_until, self.relapses, self.heard_us = 0, 0, 0
-        self.health, self.eased_us = 1.0, 0
+        self.eject_until, self.relapses, self.back_us = 0, 0, None  # since when it is back on the ramp
+        self.health, self.eased_us, self.heard_us = 1.0, 0, 0
 
     def laid(self):
         return self.entry.weight * self.part
@@ -166,7 +165,7 @@
         self.routes = range(self.get("routes.count", 0))
         self.slo_us = min((self.get(f"routes.{route}.slo_time_us", 1) for route in self.routes), default=1)
         self.ended, self.reported = Ring(4), False  # anywhere: tries, dropped ones; reports' spans, how many
-        self.warm_now = self.warm_most = 1e-9  # listed weight of the warm servers in use; the most it was
+        self.warm_now = self.warm_most = 0.0  # listed weight of the warm servers in use; the most it was
         self.load, self.answering, self.typical = 0.0, 1.0, 1.0  # middle time over SLO time; shares answered
         self.kinds, self.settled_us = {}, 0  # the part of machine types that are eased
         self.limit, self.limit_us, self.high = None, 0, 1.0  # calls let in for each usual one; too many
@@ -280,9 +279,9 @@
             least, age_us = self.get("rules.start_capacity", FIRST_STEP), self.now - held.entry.started_us
             sure = least + (1 - least) * max(0, age_us) / self.get("rules.warm_after_us", 1)
             # In a deep jam it gets a part of that, and where the cold would have all calls among themselves.
-            most, few = self.get("rules.fall_multiple", DEEP_LOAD) / DEEP_LOAD, FEW_WARM * self.warm_most
-            part = min(part, full * sure * min(1.0, self.answering / DEEP, most / max(self.load, most))
-                       * min(1.0, self.warm_now / few))
+            most = self.get("rules.fall_multiple", DEEP_LOAD) / DEEP_LOAD
+            deep = min(1.0, self.answering / DEEP, most / max(self.load, most))
+            part = min(part, full * sure * deep * self.cold_part)
         return part
 
     # Health
@@ -290,8 +289,8 @@
     def judge(self):
         """Eject what drops beyond chance, or falls silent, beside the rest; a shared trouble ejects nobody.
 
-        It guards against servers that fail fast, hang or vanish long before the list says so, whatever the
-        cause. In a jam a full server and a dead one look alike, and each one less deepens it: nobody goes.
+        It guards against servers that fail, hang or vanish long before the list says so. In a jam a full
+        server and a dead one look alike, and each one less deepens it: nobody goes.
         """
         self.reported, self.urgent = False, True
         lately, lost_lately, span_us, lines = self.ended.sums(self.bucket, RECENT)
@@ -347,10 +346,9 @@
                 held.state = GONE
 
     def ease(self):
-        """Once a tick the machine type, or else the one server, that is overrun most gets a step less.
+        """Once a tick the machine type that is overrun most gets a step less, or else the servers that are.
 
-        It guards against listed weights that are wrong, for a type or for one server, and against anything
-        that slows some servers. One at a time: easing all slow ones at once only moves the load to the next.
+        It guards against listed weights that are wrong, and against anything that slows some servers.
         """
         cost, chance, kinds = {}, {}, {}
         for held in self.servers.values():
@@ -387,9 +385,8 @@
     def levels(self):
         """By route, what is let in: in a jam no more than gets answered, the most important routes first.
 
-        It guards against jams that clients' repeats keep alive, whatever began them. What is let in never
-        goes under a part of what was answered at the start, as fewer calls also mean fewer answers. It is a
-        ratio to the usual calls of the joined proxies, as those of a dead director may join.
+        It guards against jams that clients' repeats keep alive, whatever began them. It never goes under a
+        part of what was answered at first, and is a ratio to the joined proxies' usual calls: more may join.
         """
         kind, demand = self.get("proxies.admit", "silent"), {route: [] for route in self.routes}
         full = 1.0 if kind == "ratio" else 1e6
@@ -409,7 +406,7 @@
             self.limit = self.least = (tries - dropped) / (RING * self.bucket_us) / known
             self.limit_us = self.now + 2 * TICK_US
         elif pressed and self.now >= self.limit_us:
-            self.high, self.limit_us = self.limit / self.warm_now, self.now + 2 * TICK_US
+            self.high, self.limit_us = self.limit / max(self.warm_now, 1e-9), self.now + 2 * TICK_US
             self.limit = max(THROTTLE_LEAST * self.least, THROTTLE_PART * self.limit)
         elif not pressed:
             rise = THROTTLE_RISE if self.load > THROTTLE / 2 else THROTTLE_RISE ** 3
@@ -433,8 +430,8 @@
             return 2.0
         burst = max(1.0, BURST * most)
         rate = (most - burst) / self.get("proxies.counted_over_us", TICK_US)
-        proxy.tokens = min(burst, proxy.tokens + (self.now - proxy.filled_us) * rate)
-        proxy.filled_us = self.now
+        filled = proxy.tokens + (self.now - proxy.filled_us) * rate
+        proxy.tokens, proxy.filled_us = min(burst, filled), self.now
         return proxy.tokens
 
     def make_tables(self):
@@ -534,8 +531,9 @@
             self.make_tables()
         if self.now >= self.next_tick:
             self.tick()
-        self.warm_now = sum(held.entry.weight for held in warm if not held.eject_until) or self.warm_most
-        self.warm_most = max(self.warm_now, self.warm_most)
+        self.warm_now = sum(held.entry.weight for held in warm if not held.eject_until)
+        self.warm_most = max(self.warm_now, self.warm_most, 1e-9)
+        self.cold_part = min(1.0, (self.warm_now or self.warm_most) / self.warm_most / FEW_WARM)
         for held in self.servers.values():
             held.part = self.percentage(held)
         self.spill()
@@ -548,19 +546,21 @@
             # An ejection leaves one message to what the rules may ask for next.
             if self.put(orders, tables, 1 + gone, 1 + (held.state == READY), 0):
                 held.shut, held.told = True, {} if gone else held.told
-        served = {number for held in self.servers.values() if not held.shut for number in held.told}
+        # A table of cold lines alone sends them all calls, however small they are: warm ones come at once.
+        served, heated = ({number for held in group if not held.shut for number in held.told}
+                          for group in (self.servers.values(), warm))
         for held in self.servers.values():
             # Laid before a jam was known, a cold server must not wait for the tick to get much less.
             less = not held.shut and max(held.told.values(), default=0.0) > 2 * held.laid()
-            if less or any(table.used and table.number not in served for table in held.tables):
+            lit = heated if self.warm(held) else served
+            if less or any(table.used and table.number not in lit for table in held.tables):
                 self.change(held, 1, 0)
         for table in [table for table in self.tables if table.used]:
             news = [route for route in self.routes if table.said.get(route) != self.let_in[route]]
             orders = [api.Admit(table.number, 1 << route, self.let_in[route], api.NO_RETRY) for route in news]
             if news and self.put(orders, [table], len(news), 2, 0):
                 table.said.update(self.let_in)
-        self.bind(keep / 2)
-        # The rules wait for binds, not for ramps: what a loose proxy holds may have drained meanwhile.
+        self.bind(keep / 2)  # before ramps, as what a loose proxy holds may have drained meanwhile
         self.due = [held for held in self.due if self.loose.proxies or not self.change(held, 2, keep)]
         self.seal()
 
@@ -603,7 +603,7 @@
         for table in (*self.tables, self.loose):
             lines, table.lines = table.lines and table.lines + self.head, 0
             self.written += [(proxy, lines) for proxy in table.proxies.values() if lines]
-        self.mark = (self.mark + bool(self.written)) % 65536
+        self.mark = (self.mark + 1) % 65536
         self.orders += [api.Mark(self.mark, False)] if self.written else []
         for proxy, lines in self.written:
             proxy.unread.append((self.mark, lines))
