Binds before everything but withdrawals and empty tables

Order now: withdrawals, tables without a line, binds, weights that fell by half and warm lines for cold tables (both leave a quarter of the queue), ramp steps.

--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -6,11 +6,11 @@
 of the design, what was changed, and when each exception acts.
 
 Beside the design stand these mechanisms (six at most):
-1. Paced channel: lines that wait and messages per proxy are accounted for; what is urgent goes first.
+1. Paced channel: lines that wait and messages per proxy are counted; what the rules ask for goes first.
 2. Cold guard: the percentage of a server that started lately follows its listed start time.
-3. Ejection on evidence: a server that drops beyond chance or falls silent is shut out; back by the ramp.
+3. Ejection on evidence: what drops beyond chance or falls silent is shut out; a list that may be wrong is doubted.
 4. Easing: a machine type or a server that is overrun beside the rest gets a lower percentage.
-5. No retries by proxies: 'full' is proof too, and such a try feeds the jam that refused it.
+5. Zones: where crossing is dear a table has servers of one zone, and of others only what the zone cannot do.
 6. Throttling: where levels are obeyed, a jammed fleet gets no more calls than it answers.
 """
 
@@ -524,7 +524,7 @@
         """Write what changed: withdrawals at once, ramp steps by the tick, binds as the queue allows."""
         pending = self.get("proxies.pending_max", 1e9)
         keep, self.spare = (1 - ROOM) * pending, pending - self.waiting
-        warm = [held for held in self.servers.values() if self.warm(held)]
+        warm = {held: None for held in self.servers.values() if self.warm(held)}
         for held in warm if all(held.eject_until for held in warm) else ():
             held.eject_until = 0  # the rest has left the list since: any line beats none
         if not self.tables:
@@ -543,24 +543,24 @@
             gone, orders = held.state == GONE, [api.Withdraw(held.entry.address, True)]
             orders += [api.SetLine(number, held.entry.address, 0.0) for number in held.told if gone]
             tables = [table for table in held.tables if table.number in held.told] + [self.loose]
-            # An ejection leaves one message to what the rules may ask for next.
-            if self.put(orders, tables, 1 + gone, 1 + (held.state == READY), 0):
+            if self.put(orders, tables, 1 + gone, 1 + (held.state == READY), 0):  # ejections keep one
                 held.shut, held.told = True, {} if gone else held.told
-        # A table of cold lines alone sends them all calls, however small they are: warm ones come at once.
         served, heated = ({number for held in group if not held.shut for number in held.told}
                           for group in (self.servers.values(), warm))
         for held in self.servers.values():
-            # Laid before a jam was known, a cold server must not wait for the tick to get much less.
-            less = not held.shut and max(held.told.values(), default=0.0) > 2 * held.laid()
-            lit = heated if self.warm(held) else served
-            if less or any(table.used and table.number not in lit for table in held.tables):
+            if any(table.used and table.number not in served for table in held.tables):
                 self.change(held, 1, 0)
         for table in [table for table in self.tables if table.used]:
             news = [route for route in self.routes if table.said.get(route) != self.let_in[route]]
             orders = [api.Admit(table.number, 1 << route, self.let_in[route], api.NO_RETRY) for route in news]
             if news and self.put(orders, [table], len(news), 2, 0):
                 table.said.update(self.let_in)
-        self.bind(keep / 2)  # before ramps, as what a loose proxy holds may have drained meanwhile
+        self.bind(keep / 2)  # before the rest, as what a loose proxy holds may have drained meanwhile
+        # Cold servers must not wait for the tick to get much less, nor, on a table alone, for warm ones.
+        for held in self.servers.values():
+            less = not held.shut and max(held.told.values(), default=0.0) > 2 * held.laid()
+            if less or held in warm and any(table.number not in heated for table in held.tables):
+                self.change(held, 1, keep / 2)
         self.due = [held for held in self.due if self.loose.proxies or not self.change(held, 2, keep)]
         self.seal()
 
