--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -8,7 +8,7 @@
 Beside the design stand these mechanisms (six at most):
 1. Paced channel: lines that wait and messages per proxy are counted; what the rules ask for goes first.
 2. Cold guard: the percentage of a server that started lately follows its listed start time.
-3. Ejection on evidence: what drops beyond chance or falls silent is shut out; a list that may be wrong is doubted.
+3. Ejection on evidence: what drops beyond chance or falls silent is shut out; a list may be doubted.
 4. Easing: a machine type or a server that is overrun beside the rest gets a lower percentage.
 5. Zones: where crossing is dear a table has servers of one zone, and of others only what the zone cannot do.
 6. Throttling: where levels are obeyed, a jammed fleet gets no more calls than it answers.
