--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -46,7 +46,7 @@
 TRIAL_TRIES = 3  # back on the ramp it goes again if it drops more than half of so many tries
 
 OVERRUN_TRIES, OVERRUN_TIME, OVERRUN_SLO = 4, 1.6, 0.6  # tries, times the fleet's time, part of the SLO time
-OVERRUN_SURE, EASE_US = 3, TICK_US // 2  # standard errors beyond chance; the least buckets of that evidence
+OVERRUN_SURE, EASE_US = 2, TICK_US // 2  # standard errors beyond chance; the least buckets of that evidence
 EASE_MANY = 0.25  # the part of the servers that may be eased at once, one at least
 KIND_TRIES, KIND_TIME, KIND_SLO = 40, 1.6, 0.5  # the same for a machine type
 EASE_POWER, EASE_MOST, EASE_LEAST = 0.33, 0.5, 0.3  # the root of that ratio is taken; a step at most; in all
