--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -31,13 +31,13 @@
 FAR_PRICE, FAR_STEP = 0.03, 0.25  # tables are of one zone from this price on; steps in which it uses others
 COPIES, THIN = 2, 0.5  # tables that hold a server, at least; a table under this part of the mean gets more
 
-ROOM = 0.5  # binds and ramp steps leave this part of the channel's queue to withdrawals
+ROOM = 0.5  # ramp steps leave this part of the channel's queue to withdrawals, binds half of that
 BURST = 0.4  # of the messages that a proxy may be written, this part may go out at once
 
 DEEP_LOAD = 2.7  # cold servers get less from this part of the fall multiple on, as middle time in SLO times
 DEEP, CALM = 0.35, 0.7  # a fleet that answers less than this share of its tries is in a jam, deep or not
-FEW_WARM = 0.5  # and less, too, once usable warm weight is under this part of the most that it was
-JAM = 0.6  # so is a fleet whose middle time is this part of the SLO time
+JAM = 0.6  # so is one whose middle time is this part of the SLO time
+FEW_WARM = 0.5  # cold servers get less, too, once usable warm weight is under this part of the most it was
 
 EJECT_DROPS, EJECT_SHARE, SURE = 4, 0.3, 3  # drops, share above the others', deviations that eject
 QUICK, LOST = 2, 0.85  # broken, not overrun: answers the rest in such times the fleet's, or drops so
