--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -560,7 +560,7 @@
         for held in self.servers.values():
             less = not held.shut and max(held.told.values(), default=0.0) > 2 * held.laid()
             if less or held in warm and any(table.number not in heated for table in held.tables):
-                self.change(held, 1, keep / 2)
+                self.change(held, 2, keep / 2)
         self.due = [held for held in self.due if self.loose.proxies or not self.change(held, 2, keep)]
         self.seal()
 
