Cold servers get less once warm weight is under three quarters of the most it was

Now the cold get less from three quarters of the warm weight on (half before), and a weight that falls by a third is written at once (half before).

--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -37,7 +37,7 @@
 DEEP_LOAD = 2.7  # cold servers get less from this part of the fall multiple on, as middle time in SLO times
 DEEP, CALM = 0.35, 0.7  # a fleet that answers less than this share of its tries is in a jam, deep or not
 JAM = 0.6  # so is one whose middle time is this part of the SLO time
-FEW_WARM = 0.5  # cold servers get less, too, once usable warm weight is under this part of the most it was
+FEW_WARM = 0.75  # cold servers get less, too, once usable warm weight is under this part of the most it was
 
 EJECT_DROPS, EJECT_SHARE, SURE = 4, 0.3, 3  # drops, share above the others', deviations that eject
 QUICK, LOST = 2, 0.85  # broken, not overrun: answers the rest in such times the fleet's, or drops so
@@ -558,7 +558,7 @@
         self.bind(keep / 2)  # before the rest, as what a loose proxy holds may have drained meanwhile
         # Cold servers must not wait for the tick to get much less, nor, on a table alone, for warm ones.
         for held in self.servers.values():
-            less = not held.shut and max(held.told.values(), default=0.0) > 2 * held.laid()
+            less = not held.shut and max(held.told.values(), default=0.0) > 1.5 * held.laid()
             if less or held in warm and any(table.number not in heated for table in held.tables):
                 self.change(held, 2, keep / 2)
         self.due = [held for held in self.due if self.loose.proxies or not self.change(held, 2, keep)]
