A start value that sites with slices lacked; tables that are not thin are not searched for

And in every step each table sorted all servers it does not hold before asking whether it was thin; the question comes first now.

--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -166,7 +166,8 @@
         self.slo_us = min((self.get(f"routes.{route}.slo_time_us", 1) for route in self.routes), default=1)
         self.ended, self.reported = Ring(4), False  # anywhere: tries, dropped ones; reports' spans, how many
         self.warm_now = self.warm_most = 0.0  # listed weight of the warm servers in use; the most it was
-        self.load, self.answering, self.typical = 0.0, 1.0, 1.0  # middle time over SLO time; shares answered
+        self.load, self.answering = 0.0, 1.0  # middle time over SLO time; share answered
+        self.typical = self.cold_part = 1.0  # the same at the typical server; what is left to the cold
         self.kinds, self.settled_us = {}, 0  # the part of machine types that are eased
         self.limit, self.limit_us, self.high = None, 0, 1.0  # calls let in for each usual one; too many
         self.orders += [api.Subscribe(True)] if self.get("discovery", "pushed") == "on_request" else []
@@ -498,7 +499,7 @@
                     weights[table, kind] += held.entry.weight
                     weights[table] += self.weight(held, table)
         mean = sum(weights[table] for table in self.tables) / max(1, len(self.tables))
-        for table in self.tables if len(self.tables) > 1 else ():
+        for table in [table for table in self.tables if weights[table] < THIN * mean]:
             others = [held for held in self.servers.values() if held.part > 0 and table not in held.tables]
             others.sort(key=lambda held: (held.part, -len(held.tables), self.draw(held, table.number)))
             while others and weights[table] < THIN * mean:
@@ -593,8 +594,7 @@
             lines = self.head + 1 + len(table.said) + sizes[table.number]
             if self.spare - keep >= lines and self.tokens(proxy) >= 1:
                 self.orders.append(api.Bind(table.number, api.ALL_ROUTES, number))
-                self.spare -= lines
-                proxy.table = table
+                self.spare, proxy.table = self.spare - lines, table
                 self.written.append((proxy, lines + self.loose.lines))
                 table.proxies[number] = self.loose.proxies.pop(number)
 
