--- /dev/null
+++ b/rainpick/settings/model.py
@@ -0,0 +1,192 @@
+"""The schema of a director's settings. Every key that may stand in the file stands here, with its bounds."""
+
+from __future__ import annotations
+
+from typing import Literal
+
+from pydantic import BaseModel, ConfigDict, Field, model_validator
+
+from rainpick.settings.fleet import Match
+from rainpick.settings.units import Address, Duration, Endpoint
+
+Effect = Literal["repeatable", "keyed", "mutating"]
+
+
+class Part(BaseModel):
+    """Unknown keys are errors: a misspelt one would otherwise silently mean its default."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True, validate_default=True)
+
+
+class DirectorPart(Part):
+    number: int = Field(0, ge=0, description="this director's place among them, from 0")
+    of: int = Field(1, ge=1, description="how many directors serve the fleet")
+    zone: str | None = Field(None, description="the zone it stands in; the first of `zones` if absent")
+    seed: int = Field(0, ge=0, description="seed of its chance")
+    list_cache: str | None = Field(None, description="file that keeps the last list over restarts")
+    settle: Duration = Field("1s", description="without a cached list: how long members may register first")
+    inbox: int = Field(20_000, ge=100, description="events that may wait for the core")
+
+
+class ListenPart(Part):
+    sasp: Address = Field("127.0.0.1:3860", description="members and proxies (RFC 4678)")
+    otlp: Address = Field("127.0.0.1:4318", description="load reports (OTLP over HTTP)")
+    status: Address = Field("127.0.0.1:8780", description="the director's state as JSON")
+
+
+class FleetRule(Part):
+    """What is known beforehand of the servers at some addresses; the first rule that matches counts."""
+
+    match: str = Field(description="HOST, HOST:PORT, HOST:FIRST-LAST or NETWORK/BITS, any of the last with ports")
+    weight: float | None = Field(None, gt=0, description="listed weight")
+    zone: str | None = None
+    machine: str | None = None
+    pod: int | None = Field(None, ge=0, le=65535, description="servers that share kept keys")
+
+
+class FleetPart(Part):
+    uid: str = Field("rainpick", min_length=1, max_length=64, description="LB UID that members register under")
+    group: str = Field("servers", min_length=1, max_length=255, description="group name of members and proxies")
+    servers: tuple[FleetRule, ...] = ()
+    weight_most: float = Field(16.0, gt=0, le=65535, description="the largest listed weight allowed")
+    member_grace: Duration = Field("1.5s", description="a member whose stream broke is gone after this")
+    members_most: int = Field(10_000, ge=1, le=60_000, description="members that may be registered at once")
+    list_file: str | None = Field(None, description="a second source of the list, read again on SIGHUP")
+
+
+class RoutePart(Part):
+    name: str
+    slo_time: Duration = Field(description="the time within which an answer is wanted")
+    time_limit: Duration = Field(description="the time after which a client gives up")
+    importance: float = Field(1.0, ge=0)
+    effect: Effect = "repeatable"
+    repeat_window: Duration = Field("0s", description="keyed: how long repeats are dropped")
+    repeat_group: Literal["all", "zone", "pod"] = "pod"
+
+    @model_validator(mode="after")
+    def times(self) -> RoutePart:
+        if self.time_limit < self.slo_time:
+            raise ValueError("time_limit must not be under slo_time")
+        return self
+
+
+class KnownProxy(Part):
+    """What is known of proxies whose LB UID matches a pattern; the first that matches counts."""
+
+    match: str = Field(description="LB UID; * and ? stand for anything")
+    zone: str | None = None
+    rate: float | None = Field(None, gt=0, description="calls a second it usually gets")
+
+
+class ProxiesPart(Part):
+    count: int = Field(30, ge=0, le=65_000, description="proxies of all directors together")
+    by_zone: bool = Field(False, description="a proxy joins a director of its own zone")
+    standing_lines: int = Field(6, ge=1, description="lines of a standing table")
+    report_every: Duration = Field("1s", description="how often proxies report")
+    hears_per_s: float = Field(2_000.0, gt=0, description="report lines a second given to the decisions")
+    known: tuple[KnownProxy, ...] = ()
+    zone: str | None = Field(None, description="zone of a proxy that no rule knows")
+    rate: float = Field(1.0, gt=0, description="calls a second of a proxy that no rule knows")
+    ejects_after: int = Field(0, ge=0, description="proxies shun a server after so many drops in a row; 0: never")
+
+
+class ChannelPart(Part):
+    lines_per_s: float = Field(2_500.0, gt=0)
+    head_lines: int = Field(6, ge=0, description="what a message costs beside its lines")
+    pending_lines: int = Field(5_000, ge=1, description="lines that may wait")
+    messages_most: int = Field(0, ge=0, description="messages to one proxy within messages_over; 0: no limit")
+    messages_over: Duration = "10s"
+
+    @model_validator(mode="after")
+    def one_message_fits(self) -> ChannelPart:
+        if self.pending_lines < 4 * (self.head_lines + 1):
+            raise ValueError("pending_lines has no room for a few messages of head_lines each")
+        return self
+
+
+class RulesPart(Part):
+    bare: Duration = Field("2.8s", description="a joined proxy may be without a line for so long")
+    drain_grace: Duration = Field("2.7s", description="then nothing goes to a drained server any more")
+    warm_after: Duration = Field("12s", description="a started server is warm then")
+    start_capacity: float = Field(0.16, gt=0, le=1)
+    fall_multiple: float = Field(3.0, gt=1)
+    fall: Duration = "1.5s"
+    gone_does_not_bind: bool = False
+
+
+class SaspPart(Part):
+    frame_most: int = Field(262_144, ge=64, le=16_777_216, description="bytes of the largest message taken")
+    streams_most: int = Field(4_096, ge=1, description="streams that may be open at once")
+    hello: Duration = Field("5s", description="a stream must say what it is within this time")
+    poll_interval_s: int = Field(1, ge=1, le=65_535, description="interval told in Get Weights replies, seconds")
+    read_proof: Duration = Field("5s", description="a proxy that asks by turns must show that it reads; 0s: never")
+    write_stall: Duration = Field("2s", description="a proxy whose socket takes nothing for so long is let go")
+
+
+class OtlpPart(Part):
+    body_most: int = Field(1_048_576, ge=1_024, description="bytes of a report, unpacked")
+    connections_most: int = Field(1_024, ge=1)
+    late_after: Duration = Field("3s", description="a report whose period ended longer ago is late")
+    skew_most: Duration = Field("1s", description="how far a reporter's clock is trusted to be off")
+    streams_most: int = Field(100_000, ge=100, description="streams of report points that are remembered")
+    idle: Duration = Field("60s", description="a silent connection is closed after this")
+
+
+class LogPart(Part):
+    level: Literal["debug", "info", "warning", "error"] = "info"
+    format: Literal["json", "console"] = "json"
+
+
+class PricesPart(Part):
+    cross_zone: float = Field(0.0, ge=0, description="what a call costs that crosses zones")
+
+
+class Settings(Part):
+    """A director's settings."""
+
+    director: DirectorPart = DirectorPart()
+    listen: ListenPart = ListenPart()
+    zones: tuple[str, ...] = Field(("local",), min_length=1, max_length=256)
+    machines: tuple[str, ...] = Field(("any",), min_length=1, max_length=65_536)
+    fleet: FleetPart = FleetPart()
+    routes: tuple[RoutePart, ...] = Field(description="the kinds of call, 1 to 16")
+    proxies: ProxiesPart = ProxiesPart()
+    channel: ChannelPart = ChannelPart()
+    rules: RulesPart = RulesPart()
+    sasp: SaspPart = SaspPart()
+    otlp: OtlpPart = OtlpPart()
+    prices: PricesPart = PricesPart()
+    log: LogPart = LogPart()
+
+    @model_validator(mode="after")
+    def names_are_known(self) -> Settings:
+        if not 1 <= len(self.routes) <= 16:
+            raise ValueError(f"routes: {len(self.routes)} of them; 1 to 16 are allowed")
+        places = [("director", self.director.zone), ("proxies", self.proxies.zone)]
+        places += [(f"fleet.servers.{at}", rule.zone) for at, rule in enumerate(self.fleet.servers)]
+        places += [(f"proxies.known.{at}", known.zone) for at, known in enumerate(self.proxies.known)]
+        for where, zone in places:
+            if zone is not None and zone not in self.zones:
+                raise ValueError(f"{where}.zone: {zone!r} is not one of zones {list(self.zones)}")
+        for at, rule in enumerate(self.fleet.servers):
+            if rule.machine is not None and rule.machine not in self.machines:
+                raise ValueError(f"fleet.servers.{at}.machine: {rule.machine!r} is not one of machines "
+                                 f"{list(self.machines)}")
+            if rule.weight is not None and rule.weight > self.fleet.weight_most:
+                raise ValueError(f"fleet.servers.{at}.weight: {rule.weight} is over fleet.weight_most "
+                                 f"{self.fleet.weight_most}")
+            Match(rule.match)
+        if len({route.name for route in self.routes}) < len(self.routes):
+            raise ValueError("routes: two of them have the same name")
+        if self.director.number >= self.director.of:
+            raise ValueError(f"director.number: {self.director.number} must be under director.of")
+        ports = [place for place in (self.listen.sasp, self.listen.otlp, self.listen.status) if place.port]
+        if len(set(ports)) < len(ports):
+            raise ValueError("listen: two fronts have the same address")
+        return self
+
+    def zone_of(self, name: str | None) -> int:
+        return self.zones.index(name) if name is not None else 0
+
+    def endpoints(self) -> dict[str, Endpoint]:
+        return {"sasp": self.listen.sasp, "otlp": self.listen.otlp, "status": self.listen.status}
