--- /dev/null
+++ b/rainpick/__main__.py
@@ -0,0 +1,5 @@
+"""``python -m rainpick``."""
+
+from rainpick.cli import main
+
+main()
--- /dev/null
+++ b/rainpick/cli/__init__.py
@@ -0,0 +1,5 @@
+"""The command line."""
+
+from rainpick.cli.main import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/rainpick/cli/main.py
@@ -0,0 +1,170 @@
+"""Sub-commands. Exit codes: 0 well, 1 it failed or a verdict is bad, 2 the call or a file is wrong."""
+
+from __future__ import annotations
+
+import json
+import sys
+import tempfile
+from collections.abc import Callable
+from functools import wraps
+from pathlib import Path
+
+import click
+
+from rainpick.settings import SettingsError, load, schema
+
+CONFIG = click.Path(dir_okay=False)
+
+
+def plain_errors(command: Callable) -> Callable:
+    """Faults of files and places are told in a line each, without a traceback."""
+    @wraps(command)
+    def run(*words, **named):
+        from rainpick.http1 import ClientError
+
+        try:
+            return command(*words, **named)
+        except SettingsError as flaw:
+            click.echo(str(flaw), err=True)
+            sys.exit(2)
+        except (OSError, ClientError) as flaw:
+            click.echo(f"rainpick: {flaw}", err=True)
+            sys.exit(1)
+    return run
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(package_name="rainpick")
+def main() -> None:
+    """A traffic director: it publishes weights to plain proxies, by what members and reports tell it."""
+
+
+@main.command()
+@click.option("--config", required=True, type=CONFIG, help="Settings, JSON5.")
+@plain_errors
+def run(config: str) -> None:
+    """Serve as one director until SIGTERM. SIGHUP reads the list file again."""
+    from rainpick.cli import logs
+    from rainpick.director.daemon import Daemon
+
+    settings = load(config)
+    logs.set_up(settings.log.level, settings.log.format)
+    daemon = Daemon(settings)
+    daemon.start()
+    sys.exit(daemon.run())
+
+
+@main.group()
+def config() -> None:
+    """Settings: check a file, print the schema."""
+
+
+@config.command("check")
+@click.argument("file", type=CONFIG)
+@plain_errors
+def config_check(file: str) -> None:
+    """Say whether FILE is good; each fault in a line."""
+    settings = load(file)
+    if settings.fleet.list_file:
+        from rainpick.director.listing import read_list
+
+        read_list(settings.fleet.list_file, settings, 0)
+    click.echo(f"{file}: good")
+
+
+@config.command("schema")
+def config_schema() -> None:
+    """Print the JSON Schema of the settings."""
+    click.echo(json.dumps(schema(), indent=2))
+
+
+def place_of(text: str) -> tuple[str, int]:
+    host, colon, port = text.rpartition(":")
+    if not colon or not port.isdigit():
+        raise click.BadParameter(f"{text!r} is not HOST:PORT")
+    return host, int(port)
+
+
+@main.command()
+@click.option("--at", default="127.0.0.1:8780", show_default=True, help="Where the director shows its state.")
+@click.option("--json", "as_json", is_flag=True, help="The whole state as JSON.")
+@plain_errors
+def status(at: str, as_json: bool) -> None:
+    """Show what a director holds: servers, proxies, channel, reports."""
+    from rainpick.cli import show
+    from rainpick.http1 import Client
+
+    code, _, body = Client(*place_of(at)).call("GET", "/status")
+    if code != 200:
+        click.echo(f"rainpick: {at} answers {code}: {body.decode(errors='replace')}", err=True)
+        sys.exit(1)
+    found = json.loads(body)
+    if as_json:
+        click.echo(json.dumps(found, indent=2))
+    else:
+        show.status(found)
+
+
+@main.group()
+def sasp() -> None:
+    """Speak SASP to a director."""
+
+
+@sasp.command()
+@click.option("--at", default="127.0.0.1:3860", show_default=True, help="Where the director speaks SASP.")
+@click.option("--uid", default="rainpick-cli", show_default=True, help="LB UID; it counts as a proxy.")
+@click.option("--group", default="servers", show_default=True, help="Group name.")
+@click.option("--follow", is_flag=True, help="Go on: print each change that is pushed.")
+@click.option("--json", "as_json", is_flag=True, help="One JSON object a message.")
+@plain_errors
+def weights(at: str, uid: str, group: str, follow: bool, as_json: bool) -> None:
+    """Print the advice that a load balancer is given."""
+    from rainpick.cli import show
+
+    show.weights(place_of(at), uid, group, follow, as_json)
+
+
+@main.command()
+@click.argument("file", type=CONFIG)
+@click.option("--dir", "folder", type=click.Path(file_okay=False), help="Where logs go; else a new folder.")
+@click.option("--json", "as_json", is_flag=True, help="The verdict as JSON.")
+@click.option("--quiet", is_flag=True, help="Only the verdict.")
+@plain_errors
+def day(file: str, folder: str | None, as_json: bool, quiet: bool) -> None:
+    """Play a scripted day on loopback and judge it: 0 if the rules are kept and the goal is reached."""
+    from rainpick.cli import show
+    from rainpick.standins.day import Day, DayError
+    from rainpick.standins.scenario import Scenario
+
+    scenario = load(file, Scenario)
+    place = Path(folder) if folder else Path(tempfile.mkdtemp(prefix="rainpick-day-"))
+    try:
+        verdict = Day(scenario, place).play(show.progress(scenario, quiet or as_json))
+    except DayError as flaw:
+        click.echo(f"rainpick: {flaw}; logs are in {place}", err=True)
+        sys.exit(1)
+    good = verdict.kept and verdict.share() >= scenario.goal
+    if as_json:
+        click.echo(json.dumps(show.verdict_json(verdict, scenario.goal, good)))
+    else:
+        show.verdict(verdict, place, scenario.goal, good)
+    sys.exit(0 if good else 1)
+
+
+@main.command()
+@click.argument("folder", type=click.Path(file_okay=False, exists=True))
+@click.option("--json", "as_json", is_flag=True, help="The verdict as JSON.")
+@plain_errors
+def audit(folder: str, as_json: bool) -> None:
+    """Judge the logs of a day again."""
+    from rainpick.cli import show
+    from rainpick.rules import Limits, read_logs
+    from rainpick.rules import audit as judge
+
+    limits = Limits(**json.loads((Path(folder) / "limits.json").read_text()))
+    verdict = judge(read_logs(Path(folder)), limits)
+    if as_json:
+        click.echo(json.dumps(show.verdict_json(verdict, 0.0, verdict.kept)))
+    else:
+        show.verdict(verdict, Path(folder), 0.0, verdict.kept)
+    sys.exit(0 if verdict.kept else 1)
--- /dev/null
+++ b/rainpick/director/engine.py
@@ -0,0 +1,186 @@
+"""The engine: one ``Director``, its timers, its tables and its channel, driven by a clock that is handed in.
+
+Free of I/O, so the daemon, an emulator and a replay can drive the very same thing. Everything that waits is
+handed to the module in one step; what it orders becomes one message for each proxy concerned, and ``Write``
+says what leaves now.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Hashable
+from heapq import heappop, heappush
+from typing import NamedTuple
+
+from rainpick import interface as api
+from rainpick.balance import Director
+from rainpick.director.channel import Channel
+from rainpick.director.tables import Line, Scale, Tables
+from rainpick.settings import Settings, plain_map
+
+
+class Write(NamedTuple):
+    """A message to a proxy. ``number`` counts its messages; ``delivered`` wants it back."""
+
+    proxy: int
+    number: int
+    lines: tuple[Line, ...]
+
+
+class Unread:
+    """What a proxy was written and has not been delivered yet."""
+
+    __slots__ = ("number", "sent")
+
+    def __init__(self) -> None:
+        self.number = 0
+        self.sent: deque[tuple[int, list[int], int]] = deque()  # message, marks, when
+
+
+class Counts:
+    """What the engine did, for people to read."""
+
+    def __init__(self) -> None:
+        self.steps = self.events = self.orders = self.messages = self.lines = self.notes = 0
+        self.withdrawn = self.readmitted = self.bound = 0
+
+
+class Engine:
+    """Events in, messages out. ``module`` is the decision module's class: tests put a double there."""
+
+    def __init__(self, settings: Settings, seed: int, now: int, module: Callable[[], Director] = Director):
+        self.director, self.settings = module(), settings
+        channel = settings.channel
+        self.channel = Channel(channel.lines_per_s, channel.head_lines, channel.messages_most,
+                               channel.messages_over)
+        self.listed: dict[Hashable, api.Server] = {}
+        self.tables = Tables(Scale(settings.fleet.weight_most), self.listed_weight)
+        self.timers: list[tuple[int, int]] = []
+        self.events: list = [api.Started(seed, plain_map(settings))]
+        self.unread: dict[int, Unread] = {}
+        self.counts, self.notes, self.now = Counts(), deque(maxlen=100), now
+        # Told of each step: its clock, the events, the orders.
+        self.watch: Callable[[int, list, list], None] | None = None
+
+    def listed_weight(self, server: Hashable) -> float:
+        entry = self.listed.get(server)
+        return entry.weight if entry else 1.0
+
+    # What happens
+
+    def list_changed(self, update: api.Listed) -> None:
+        for entry in update.servers:
+            self.listed[entry.address] = entry
+        self.events.append(update)
+
+    def joined(self, proxy: int, fresh: bool, rate: float, zone: int, standing) -> None:
+        self.tables.join(proxy, standing)
+        self.channel.joined(proxy)
+        self.unread[proxy] = Unread()
+        self.events.append(api.ProxyJoined(proxy, fresh, rate, zone))
+
+    def left(self, proxy: int) -> None:
+        if proxy in self.unread:
+            self.tables.leave(proxy)
+            self.channel.left(proxy)
+            del self.unread[proxy]
+            self.events.append(api.ProxyLeft(proxy))
+
+    def met(self, lines: list) -> None:
+        """Lines of reports: ``ServerMet`` and ``ProxyMet``."""
+        self.events += lines
+
+    def delivered(self, proxy: int, number: int) -> None:
+        """Message ``number`` of a proxy, and all before it, have left the director for good."""
+        unread = self.unread.get(proxy)
+        while unread and unread.sent and unread.sent[0][0] <= number:
+            _, marks, when = unread.sent.popleft()
+            self.events += [api.Applied(proxy, mark, self.now - when) for mark in marks]
+
+    def pull(self, proxy: int) -> tuple[int, tuple[Line, ...]]:
+        """A proxy asks for what it is to hold: the number of the answer, and the lines that are new in it."""
+        lines, unread = self.tables.advance(proxy), self.unread[proxy]
+        unread.number += 1
+        unread.sent.append((unread.number, self.channel.pull(proxy), self.now))
+        return unread.number, lines
+
+    def holds_more(self, proxy: int, standing) -> None:
+        """A proxy says that it holds further servers from before."""
+        lines = self.tables.extend(proxy, standing)
+        if lines:
+            self.channel.order(proxy, lines, True, None, self.now)
+
+    def blocked(self, proxy: int, on: bool) -> None:
+        """A socket takes nothing for now: its messages wait, and hold up nobody else's."""
+        (self.channel.blocked.add if on else self.channel.blocked.discard)(proxy)
+
+    # The clock
+
+    def due_us(self) -> int | None:
+        """When ``advance`` is next wanted, if nothing happens before."""
+        times = [self.timers[0][0]] if self.timers else []
+        times += [self.now] if self.events else []
+        channel_us = self.channel.due_us(self.now)
+        return min(times + ([channel_us] if channel_us is not None else []), default=None)
+
+    def advance(self, now: int) -> list[Write]:
+        """Let the module take all that waits, in one step; what is to be written now."""
+        self.now = max(self.now, now)
+        while self.timers and self.timers[0][0] <= self.now:
+            self.events.append(api.TimerDue(heappop(self.timers)[1]))
+        if self.events:
+            events, self.events = self.events, []
+            orders = self.director.step(self.now, events)
+            self.counts.steps += 1
+            self.counts.events += len(events)
+            self.counts.orders += len(orders)
+            if self.watch is not None:
+                self.watch(self.now, events, orders)
+            self.carry_out(orders)
+        return self.writes()
+
+    def carry_out(self, orders: list) -> None:
+        reached: dict[int, int] = {}
+        urgent: set[int] = set()
+        mark = None
+        for order in orders:
+            kind = type(order)
+            if kind is api.SetTimer:
+                heappush(self.timers, (self.now + max(1, order.delay_us), order.token))
+            elif kind is api.Mark:
+                mark = order.number
+                if order.everyone:
+                    reached = dict.fromkeys(self.unread, 0) | reached
+            elif kind is api.Note:
+                self.counts.notes += 1
+                self.notes.append(order.text)
+            else:
+                shuts = kind is api.Withdraw and order.on or kind is api.SetLine and order.weight <= 0
+                self.counts.withdrawn += kind is api.Withdraw and order.on
+                self.counts.readmitted += kind is api.Withdraw and not order.on
+                self.counts.bound += kind is api.Bind
+                for proxy, lines in self.tables.carry_out(order).items():
+                    reached[proxy] = reached.get(proxy, 0) + lines
+                    if shuts:
+                        urgent.add(proxy)
+        for proxy, lines in reached.items():
+            self.channel.order(proxy, lines, proxy in urgent, mark, self.now)
+
+    def writes(self) -> list[Write]:
+        found = []
+        while (message := self.channel.take(self.now)) is not None:
+            proxy = message.proxy
+            lines, unread = self.tables.advance(proxy), self.unread[proxy]
+            if not lines:  # an earlier message carried it; that one's delivery answers these marks, too
+                if unread.sent:
+                    unread.sent[-1][1].extend(message.marks)
+                else:
+                    self.events += [api.Applied(proxy, mark, 0) for mark in message.marks]
+                continue
+            unread.number += 1
+            unread.sent.append((unread.number, message.marks, self.now))
+            self.channel.wrote(proxy, len(lines), self.now)
+            self.counts.messages += 1
+            self.counts.lines += len(lines)
+            found.append(Write(proxy, unread.number, lines))
+        return found
--- /dev/null
+++ b/rainpick/director/streams.py
@@ -0,0 +1,116 @@
+"""Sockets of members and proxies: a small reading thread each; only the core writes, and never waits."""
+
+from __future__ import annotations
+
+import contextlib
+import fcntl
+import socket
+import struct
+import termios
+import threading
+from collections import deque
+from collections.abc import Callable
+
+from rainpick.sasp.session import DirectorEnd, Ended
+
+PIECE = 16_384
+SEND_BUFFER = 65_536  # small, so that a peer that does not read shows soon
+BACKLOG = 1_048_576  # bytes held for a peer beyond what its socket took; no honest one gets there
+
+
+class Stream:
+    """One stream. ``give`` hands what came to the core, in order; it ends with ``Ended``."""
+
+    def __init__(self, number: int, sock: socket.socket, peer: str, frame_most: int,
+                 give: Callable[[Stream, object], None]):
+        self.number, self.sock, self.peer, self.give = number, sock, peer, give
+        self.end = DirectorEnd(frame_most)
+        self.rest = bytearray()  # what the socket has not taken yet
+        self.handed = 0  # bytes written in all, the rest included
+        self.marks: deque[tuple[int, int]] = deque()  # (bytes handed by then, number of the message)
+        self.closed = False
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER)
+        self.thread = threading.Thread(target=self.read, name=f"stream-{number}", daemon=True)
+
+    def read(self) -> None:
+        try:
+            while True:
+                data = self.sock.recv(PIECE)
+                if not data:
+                    self.give(self, Ended(b"", "closed by the peer"))
+                    return
+                for found in self.end.receive(data):
+                    self.give(self, found)
+                    if isinstance(found, Ended):
+                        return
+        except OSError as flaw:
+            self.give(self, Ended(b"", flaw.strerror or type(flaw).__name__))
+
+    # For the core alone
+
+    def write(self, data: bytes, mark: int | None = None) -> bool:
+        """Send without waiting; False if the peer has let too much pile up."""
+        self.handed += len(data)
+        if mark is not None:
+            self.marks.append((self.handed, mark))
+        self.rest += data
+        self.pump()
+        return len(self.rest) <= BACKLOG
+
+    def pump(self) -> None:
+        """Send what the socket takes of the rest."""
+        while self.rest and not self.closed:
+            try:
+                sent = self.sock.send(self.rest, socket.MSG_DONTWAIT | socket.MSG_NOSIGNAL)
+            except BlockingIOError:
+                return
+            except OSError:
+                self.rest.clear()  # its reader will say that it broke
+                return
+            del self.rest[:sent]
+
+    def delivered(self) -> int | None:
+        """The newest message that the peer's machine has taken whole, if any since the last call."""
+        if not self.marks or self.closed:
+            return None
+        try:
+            answer = fcntl.ioctl(self.sock.fileno(), termios.TIOCOUTQ, b"\0\0\0\0")
+        except (OSError, ValueError):
+            return None
+        taken = self.handed - len(self.rest) - struct.unpack("i", answer)[0]
+        newest = None
+        while self.marks and self.marks[0][0] <= taken:
+            newest = self.marks.popleft()[1]
+        return newest
+
+    def close(self) -> None:
+        """End it; the reader notices and closes nothing twice."""
+        if not self.closed:
+            self.closed = True
+            with contextlib.suppress(OSError):
+                self.sock.shutdown(socket.SHUT_RDWR)
+            self.sock.close()
+
+
+class Listener:
+    """Accepts streams until ``close``."""
+
+    def __init__(self, place: tuple[str, int], backlog: int, give: Callable[[socket.socket, str], None]):
+        self.socket = socket.create_server(place, backlog=backlog)
+        self.address, self.give, self.closing = self.socket.getsockname()[:2], give, False
+        self.thread = threading.Thread(target=self.accept, name="sasp-accept", daemon=True)
+
+    def accept(self) -> None:
+        while not self.closing:
+            try:
+                sock, peer = self.socket.accept()
+            except OSError:
+                return
+            self.give(sock, f"{peer[0]}:{peer[1]}")
+
+    def close(self) -> None:
+        self.closing = True
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_RDWR)
+        self.socket.close()
--- a/rainpick/sasp/codec.py
+++ b/rainpick/sasp/codec.py
@@ -1,9 +1,9 @@
 """Frames of SASP version 1 (RFC 4678, sections 5 and 6): types, lengths, flags, return codes.
 
-Everything is big-endian. A message is a header component, then a message component, then the components that
-it counts. A component begins with its type and its length, 16 bits each. The length is that of the component's
-own fixed part, its type and length included and the components that follow it excluded; ``docs/sasp.md`` lists
-this and the other places where the text was read one way of several.
+Everything is big-endian. A message is a header component, then a message component, then the components
+that it counts. A component begins with its type and its length, 16 bits each. The length is that of the
+component's own fixed part, its type and length included and the components that follow it excluded;
+``docs/sasp.md`` lists this and the other places where the text was read one way of several.
 """
 
 from __future__ import annotations
--- a/rainpick/sasp/session.py
+++ b/rainpick/sasp/session.py
@@ -1,7 +1,7 @@
 """The two ends of a SASP stream as state machines without I/O.
 
-``DirectorEnd`` serves members and proxies (the RFC's group workload manager); ``ClientEnd`` is what a member or
-a load balancer holds. Bytes go in by ``receive``; what they mean comes out. Who may say what, and when, is
+``DirectorEnd`` serves members and proxies (the RFC's group workload manager); ``ClientEnd`` is what a member
+or a load balancer holds. Bytes go in by ``receive``; what they mean comes out. Who may say what, and when, is
 checked here (RFC 4678, section 7); what it does to the fleet is the core's.
 """
 
--- a/rainpick/settings/model.py
+++ b/rainpick/settings/model.py
@@ -37,7 +37,7 @@
 class FleetRule(Part):
     """What is known beforehand of the servers at some addresses; the first rule that matches counts."""
 
-    match: str = Field(description="HOST, HOST:PORT, HOST:FIRST-LAST or NETWORK/BITS, any of the last with ports")
+    match: str = Field(description="HOST, HOST:PORT, HOST:FIRST-LAST or NETWORK/BITS[:PORTS]")
     weight: float | None = Field(None, gt=0, description="listed weight")
     zone: str | None = None
     machine: str | None = None
@@ -45,8 +45,8 @@
 
 
 class FleetPart(Part):
-    uid: str = Field("rainpick", min_length=1, max_length=64, description="LB UID that members register under")
-    group: str = Field("servers", min_length=1, max_length=255, description="group name of members and proxies")
+    uid: str = Field("rainpick", min_length=1, max_length=64, description="LB UID of members' groups")
+    group: str = Field("servers", min_length=1, max_length=255, description="group of members and proxies")
     servers: tuple[FleetRule, ...] = ()
     weight_most: float = Field(16.0, gt=0, le=65535, description="the largest listed weight allowed")
     member_grace: Duration = Field("1.5s", description="a member whose stream broke is gone after this")
@@ -87,7 +87,7 @@
     known: tuple[KnownProxy, ...] = ()
     zone: str | None = Field(None, description="zone of a proxy that no rule knows")
     rate: float = Field(1.0, gt=0, description="calls a second of a proxy that no rule knows")
-    ejects_after: int = Field(0, ge=0, description="proxies shun a server after so many drops in a row; 0: never")
+    ejects_after: int = Field(0, ge=0, description="drops in a row after which proxies shun a server")
 
 
 class ChannelPart(Part):
@@ -118,9 +118,9 @@
     frame_most: int = Field(262_144, ge=64, le=16_777_216, description="bytes of the largest message taken")
     streams_most: int = Field(4_096, ge=1, description="streams that may be open at once")
     hello: Duration = Field("5s", description="a stream must say what it is within this time")
-    poll_interval_s: int = Field(1, ge=1, le=65_535, description="interval told in Get Weights replies, seconds")
-    read_proof: Duration = Field("5s", description="a proxy that asks by turns must show that it reads; 0s: never")
-    write_stall: Duration = Field("2s", description="a proxy whose socket takes nothing for so long is let go")
+    poll_interval_s: int = Field(1, ge=1, le=65_535, description="interval in Get Weights replies, s")
+    read_proof: Duration = Field("5s", description="a proxy that asks by turns must show it reads; 0s: never")
+    write_stall: Duration = Field("2s", description="a proxy whose socket takes nothing is let go")
 
 
 class OtlpPart(Part):
