Tests of the director's parts and of streams that break, stall and double on loopback

Found and mended with them: a director that began with an empty list laid one table for as long as it lived (it now begins when members have stopped coming, or from the cached list). Pure parts are tested under a virtual clock, among them a property test: whatever happens, every proxy ends with exactly its table.

--- a/rainpick/cli/show.py
+++ b/rainpick/cli/show.py
@@ -157,15 +157,24 @@
 
 
 def advice(folder: Path, span: tuple[int, int], many: int = 6, columns: int = 48) -> None:
-    """The weights that proxies read over time, for the servers whose weight moved most."""
+    """The weights that proxies hold over time, for the servers whose weight moved most.
+
+    A server stands in some tables only: the mean is over the proxies that have it in theirs.
+    """
     moments: dict[str, list[tuple[int, int]]] = defaultdict(list)
+    held: dict[str, dict[str, int]] = defaultdict(dict)
     for event in read_logs(folder):
         if event["k"] == "weights":
-            for server, weight, *_ in event["m"]:
-                moments[server].append((event["t"], weight))
+            for server, weight, flag in event["m"]:
+                if weight or flag & codec.CONTACT:
+                    held[server][event["p"]] = weight
+                else:
+                    held[server].pop(event["p"], None)
+                mean = sum(held[server].values()) // max(1, len(held[server]))
+                moments[server].append((event["t"], mean))
     top = max((weight for rows in moments.values() for _, weight in rows), default=0)
     moved = sorted(moments, key=lambda server: -len({weight for _, weight in moments[server]}))[:many]
-    table = Table("server", "last", title="advice over the day (16 bits, the newest that any proxy read)")
+    table = Table("server", "last", title="advice over the day (mean over proxies that have the server)")
     table.add_column("from begin to end", no_wrap=True)
     for server in sorted(moved):
         bars, last = "", 0
--- a/rainpick/director/core.py
+++ b/rainpick/director/core.py
@@ -76,7 +76,6 @@
             [route.name for route in settings.routes], settings.proxies.report_every,
             settings.proxies.hears_per_s)
         self.engine: Engine | None = None
-        self.start_us = now + settings.director.settle
         self.streams: dict[int, Stream] = {}
         self.unknown: dict[int, int] = {}  # streams that have not said what they are: until when they may
         self.served: dict[int, Served] = {}  # by stream
@@ -141,7 +140,8 @@
         if self.undelivered or self.stalled:
             times.append(now + PROOF_US)
         if self.engine is None:
-            times.append(self.start_us)
+            begin_us = self.membership.begin_us()
+            times += [begin_us] if begin_us is not None else []
         else:
             wanted = self.engine.due_us(), self.evidence.due_us(now)
             times += [moment for moment in wanted if moment is not None]
@@ -186,7 +186,8 @@
     def follow_list(self, now: int) -> None:
         """Hand on what changed in the list; start the decisions when there is a list to start with."""
         if self.engine is None:
-            if now < self.start_us:
+            begin_us = self.membership.begin_us()
+            if begin_us is None or now < begin_us:
                 return
             self.engine = Engine(self.settings, self.seed, now, self.module)
             start = self.membership.start()
@@ -502,9 +503,7 @@
         self.log.info("list file read", servers=len(lines))
 
     def on_remembered(self, lines: list[Filed]) -> None:
-        now = self.clock()
-        self.membership.remember(lines, now)
-        self.start_us = now
+        self.membership.remember(lines, self.clock())
         self.log.info("starting from the cached list", servers=len(lines))
 
     def on_status(self, box: queue.SimpleQueue) -> None:
--- a/rainpick/director/membership.py
+++ b/rainpick/director/membership.py
@@ -79,6 +79,7 @@
         # Without a word of their age, members that come while a director starts are taken for old ones:
         # the design's "ready servers full weight after a restart".
         self.settled_us = born_us + max(fleet.member_grace, settings.director.settle)
+        self.born_us, self.newest_us, self.from_cache = born_us, born_us, False
 
     # What members say
 
@@ -144,7 +145,9 @@
 
         The last stream to register it speaks for it: the one before may be dead without having been noticed.
         """
-        held = self.held.setdefault(key, Held(key))
+        if key not in self.held:
+            self.held[key], self.newest_us = Held(key), now
+        held = self.held[key]
         known = held.owner is not None or held.gone_us is not None
         same = known and held.described is not None and held.described.boot == what.boot
         if not same:
@@ -207,6 +210,7 @@
 
     def remember(self, lines: list[Filed], now: int) -> None:
         """The cached list of an earlier life: each server has the grace to register again."""
+        self.from_cache = bool(lines)
         for line in lines:
             held = self.held.setdefault(line.key, Held(line.key))
             held.described = Described(line.weight, line.zone, line.machine, line.pod, None, None)
@@ -216,6 +220,22 @@
 
     # What the decisions are told
 
+    SETTLES_MOST = 10  # a fleet that keeps growing is not waited for any longer
+
+    def begin_us(self) -> int | None:
+        """When there is a list to begin with; None while there is none.
+
+        The tables that the decisions lay follow from the list they begin with: begun with nothing, or with
+        the first few of a fleet that is just registering, they would never be those of the whole fleet.
+        """
+        if not self.held:
+            return None
+        if self.from_cache:
+            return self.born_us
+        settle = self.settings.director.settle
+        last = self.born_us + self.SETTLES_MOST * settle
+        return max(self.born_us + settle, min(self.newest_us + settle, last))
+
     def due_us(self) -> int | None:
         """When the next grace passes."""
         return min((held.gone_us for held in self.held.values() if held.gone_us is not None), default=None)
--- a/rainpick/sasp/codec.py
+++ b/rainpick/sasp/codec.py
@@ -395,7 +395,7 @@
 read_members = reader_of(GROUP_OF_MEMBERS, read_member, MEMBER.size, Members)
 read_weights = reader_of(GROUP_OF_WEIGHTS, read_entry, MEMBER.size + 8, Weights)
 read_states = reader_of(GROUP_OF_STATES, read_state, MEMBER.size + 6, States)
-GROUP_LEAST = 6 + PIECE.size + 4  # bytes of the smallest group with what announces it
+GROUP_LEAST = 6 + PIECE.size + 2  # bytes of the smallest group with what announces it
 
 
 def read_body(kind: int, cursor: Cursor) -> Message:
@@ -415,7 +415,7 @@
         reason, = cursor.take(BYTE)
         return Deregistration(many(read_members), from_lb, reason)
     if kind == GET_WEIGHTS:
-        return GetWeights(many(read_group, PIECE.size + 4))
+        return GetWeights(many(read_group, PIECE.size + 2))
     if kind == SEND_WEIGHTS:
         return SendWeights(many(read_weights))
     if kind == GET_WEIGHTS_REPLY:
--- a/rainpick/standins/day.py
+++ b/rainpick/standins/day.py
@@ -159,8 +159,8 @@
         routes = {route.name: {"importance": route.importance, "effect": route.effect,
                                "window": route.repeat_window} for route in scenario.routes}
         return Limits(rules.bare, rules.drain_grace, rules.warm_after, rules.start_capacity,
-                      rules.fall_multiple, rules.fall, channel.pending_lines, channel.lines_per_s, channel.head_lines,
-                      channel.messages_most, channel.messages_over,
+                      rules.fall_multiple, rules.fall, channel.pending_lines, channel.lines_per_s,
+                      channel.head_lines, channel.messages_most, channel.messages_over,
                       settings.fleet.member_grace, not rules.gone_does_not_bind, routes)
 
     def status(self, number: int) -> dict | None:
@@ -188,7 +188,7 @@
             plain = director_settings(scenario, number, free_ports(3), self.folder)
             self.settings.append(rules_of(plain))
             self.directors.append(self.launch(plain, self.folder))
-        self.wait_for("an answer", lambda _, found: True)
+        self.wait_for("an answer", lambda _, found: bool(found))
         self.plain = self.for_standins()
         (self.folder / "limits.json").write_text(json.dumps(asdict(self.limits())))
         self.fleet = self.part("fleet", self.plain, [], self.folder / "fleet.jsonl")
--- a/rainpick/standins/sasp_client.py
+++ b/rainpick/standins/sasp_client.py
@@ -12,10 +12,14 @@
 
 
 class SaspClient:
-    """One stream to a director. ``OSError`` when it is broken."""
+    """One stream to a director. ``OSError`` when it is broken. ``buffer``: bytes that wait to be read."""
 
-    def __init__(self, place: tuple[str, int], timeout_s: float = 3.0):
-        self.sock = socket.create_connection(place, timeout_s)
+    def __init__(self, place: tuple[str, int], timeout_s: float = 3.0, buffer: int | None = None):
+        self.sock = socket.socket()
+        self.sock.settimeout(timeout_s)
+        if buffer is not None:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer)
+        self.sock.connect(place)
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.end, self.pushed = ClientEnd(), []
         self.timeout_s = timeout_s
--- /dev/null
+++ b/tests/director/test_engine.py
@@ -0,0 +1,180 @@
+"""The engine under a virtual clock: what is ordered is what proxies hold, at the pace that is allowed."""
+
+import random
+
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+
+from rainpick import interface as api
+from rainpick.balance import Director
+from tests.director.drive import Drive, server
+
+
+def test_a_joined_proxy_gets_the_whole_table_and_loses_what_it_had():
+    drive = Drive()
+    drive.join(1, standing=[("127.0.0.1", 9001), ("127.0.0.1", 7777)])
+    drive.run(0.1)
+    assert drive.open_lines(1) == dict.fromkeys(range(4), 4096) and drive.exact(1)
+
+
+def test_a_drain_reaches_every_proxy_before_anything_else():
+    drive = Drive("channel: {lines_per_s: 100, head_lines: 6, pending_lines: 5000}, proxies: {count: 1}",
+                  servers=30)
+    for number in range(20):
+        drive.join(number)
+    drive.run(60)
+    assert all(drive.exact(number) for number in range(20))
+    drive.engine.channel.free_us = 0.0
+    for number in range(20, 24):  # binds of 30 lines each wait in the channel for 0.36 s a proxy
+        drive.join(number)
+    drive.turn()
+    drive.listed(server(3, api.DRAINING))
+    begin = len(drive.writes)
+    drive.run(30)
+    order = [write.proxy for _, write in drive.writes[begin:]]
+    assert set(order[:20]) == set(range(20)), "withdrawals overtake the binds that wait"
+    assert all(3 not in drive.open_lines(number) for number in range(24))
+
+
+def test_the_channel_keeps_its_pace():
+    drive = Drive("channel: {lines_per_s: 200, head_lines: 6, pending_lines: 5000}")
+    for number in range(30):
+        drive.join(number)
+    drive.run(20)
+    moments = [(now, len(write.lines) + 6) for now, write in drive.writes]
+    for (before, lines), (after, _) in zip(moments, moments[1:], strict=False):
+        assert after - before >= lines * 5_000 - 1
+
+
+def test_a_proxy_that_takes_nothing_holds_up_nobody():
+    drive = Drive()
+    for number in range(3):
+        drive.join(number)
+    drive.run(1)
+    drive.engine.blocked(1, True)
+    drive.listed(server(2, api.DRAINING))
+    drive.run(1)
+    assert 2 not in drive.open_lines(0) and 2 not in drive.open_lines(2) and 2 in drive.open_lines(1)
+    drive.listed(server(3, api.DRAINING))
+    drive.run(1)
+    drive.engine.blocked(1, False)
+    begin = len(drive.writes)
+    drive.run(0.1)
+    # What waited is one message with the newest state, not the story of it.
+    assert [len(write.lines) for _, write in drive.writes[begin:]] == [2] and drive.exact(1)
+
+
+def test_applied_comes_when_delivered_and_covers_what_was_merged():
+    drive = Drive()
+    drive.reads[1] = False
+    drive.join(1)
+    drive.run(1)
+    module = drive.engine.director
+    assert module.waiting > 0
+    drive.listed(server(0, api.DRAINING))
+    drive.run(1)
+    assert module.waiting > 8
+    drive.engine.delivered(1, drive.writes[-1][1].number)
+    drive.run(0.1)
+    assert module.waiting == 0
+
+
+def test_messages_to_a_proxy_stay_within_the_cap_whatever_is_ordered():
+    class Talkative(Director):
+        """Changes a weight in every step: the channel must hold the cap by itself."""
+
+        def step(self, now, events):
+            orders = super().step(now, events)
+            self.turns = getattr(self, "turns", 0) + 1
+            return [*orders, api.SetLine(0, ("127.0.0.1", 9000), 1 + self.turns % 3)]
+
+    drive = Drive('channel: {messages_most: 4, messages_over: "10s"}', module=Talkative)
+    drive.join(1)
+    for _ in range(400):
+        drive.run(0.1)
+    moments = [now for now, _ in drive.writes]
+    assert len(moments) > 8
+    assert all(sum(now - 10_000_000 < early <= now for early in moments) <= 4 for now in moments)
+
+
+def test_a_server_that_comes_drains_and_goes_within_one_batch_is_never_picked():
+    drive = Drive()
+    drive.join(1)
+    drive.run(1)
+    for state in (api.READY, api.DRAINING, api.GONE):
+        drive.listed(server(9, state, started_us=drive.now))
+    drive.run(5)
+    assert 9 not in drive.open_lines(1) and drive.exact(1)
+
+
+def test_a_cold_server_climbs_and_its_ratio_survives_sixteen_bits():
+    drive = Drive('rules: {warm_after: "12s", start_capacity: 0.16}, fleet: {weight_most: 64}')
+    drive.join(1)
+    drive.run(1)
+    drive.listed(server(9, weight=0.5, started_us=drive.now))
+    seen = []
+    for _ in range(16):
+        drive.run(1)
+        lines = drive.open_lines(1)
+        seen.append(lines.get(9, 0) / lines[0])
+    assert seen == sorted(seen) and 0 < seen[0] < 0.15 and seen[-1] == 0.5
+
+
+def test_a_poller_holds_the_same_as_one_that_is_pushed_to():
+    drive = Drive()
+    drive.join(1)
+    drive.join(2)
+    drive.engine.blocked(2, True)  # it asks by itself
+    drive.run(1)
+    drive.listed(server(1, api.DRAINING))
+    drive.run(1)
+    number, news = drive.engine.pull(2)
+    assert {line.server: (line.weight, line.flags) for line in news} == drive.held[1]
+    drive.engine.delivered(2, number)
+    drive.run(0.1)
+    assert drive.engine.director.waiting == 0
+
+
+ACTIONS = st.sampled_from(
+    ["drain", "ready", "gone", "new", "join", "left", "block", "unblock", "deaf", "poll"])
+
+
+@given(st.lists(st.tuples(ACTIONS, st.integers(0, 5), st.integers(0, 1500)), max_size=60))
+@hypothesis_settings(max_examples=60, deadline=None, derandomize=True)
+def test_whatever_happens_every_proxy_ends_with_exactly_its_table(story):
+    drive = Drive("channel: {lines_per_s: 400, head_lines: 3, pending_lines: 300}", servers=6)
+    chance, blocked = random.Random(5), set()
+    for number in range(3):
+        drive.join(number, standing=[("127.0.0.1", 9000 + number)])
+    for action, which, wait_ms in story:
+        joined = which in drive.held
+        if action in ("drain", "ready", "gone", "new"):
+            state = {"drain": api.DRAINING, "gone": api.GONE}.get(action, api.READY)
+            drive.listed(server(which, state, started_us=drive.now if action == "new" else 0))
+        elif action == "join":
+            drive.join(which, standing=[("127.0.0.1", 9000 + chance.randrange(6))])
+            blocked.discard(which)
+        elif joined and action == "left":
+            drive.left(which)
+            blocked.discard(which)
+        elif joined and action in ("block", "unblock"):
+            drive.engine.blocked(which, action == "block")
+            (blocked.add if action == "block" else blocked.discard)(which)
+        elif joined and action == "deaf":
+            drive.reads[which] = not drive.reads[which]
+        elif joined and action == "poll":
+            _, news = drive.engine.pull(which)
+            for line in news:
+                drive.held[which].pop(line.server, None)
+                if line.weight or line.flags & 0x80:
+                    drive.held[which][line.server] = line.weight, line.flags
+        drive.until(drive.now + wait_ms * 1000)
+    for number in drive.held:
+        drive.engine.blocked(number, False)
+        drive.reads[number] = True
+        drive.engine.delivered(number, 1 << 40)
+    drive.run(30)
+    assert all(drive.exact(number) for number in drive.held)
+    assert drive.engine.channel.lines == 0 and not drive.engine.channel.waiting
+    assert drive.engine.director.waiting == 0
--- /dev/null
+++ b/tests/loopback/help.py
@@ -0,0 +1,120 @@
+"""A director on loopback within the test's process, and plain SASP clients of it."""
+
+import contextlib
+import json
+import time
+
+from rainpick.director.daemon import Daemon
+from rainpick.http1 import Client
+from rainpick.sasp import codec
+from rainpick.sasp.codec import Group, Member, Members, MemberState, Registration, States
+from rainpick.settings import parse
+from rainpick.standins.sasp_client import SaspClient
+
+TEXT = """{
+  director: {settle: "100ms"%(director)s},
+  listen: {sasp: "127.0.0.1:0", otlp: "127.0.0.1:0", status: "127.0.0.1:0"},
+  zones: ["a", "b"],
+  routes: [{name: "lookup", slo_time: "500ms", time_limit: "2s"}],
+  proxies: {count: 1}, // one table for all
+  %(more)s
+}"""
+WAIT_S = 10.0
+FLEET = Group("rainpick", "servers")
+KEPT = []  # streams that nobody holds must not close before the test ends
+
+
+@contextlib.contextmanager
+def running(more="", director="", **words):
+    daemon = Daemon(parse(TEXT % {"more": more, "director": director}), **words)
+    daemon.start()
+    try:
+        yield daemon
+    finally:
+        daemon.stop()
+        while KEPT:
+            KEPT.pop().close()
+    assert daemon.core.failure is None, daemon.core.failure
+
+
+def until(ready, what="it"):
+    """Wait for something that is sure to come."""
+    end = time.monotonic() + WAIT_S
+    while not (found := ready()):
+        assert time.monotonic() < end, f"{what} did not come within {WAIT_S} s"
+        time.sleep(0.005)
+    return found
+
+
+def status(daemon):
+    client = Client(*daemon.status)
+    code, _, body = client.call("GET", "/status")
+    client.close()
+    assert code == 200
+    return {"servers": [], "proxies": [], **json.loads(body)}
+
+
+def members(*ports, label=""):
+    return tuple(Member.at("127.0.0.1", port, label) for port in ports)
+
+
+class MemberEnd(SaspClient):
+    """Servers' stream."""
+
+    def __init__(self, daemon, *ports, label=""):
+        super().__init__(daemon.sasp)
+        KEPT.append(self)
+        if ports:
+            assert self.register(*ports, label=label) == codec.SUCCESS
+
+    def register(self, *ports, label=""):
+        return self.ask(Registration((Members(FLEET, members(*ports, label=label)),))).code
+
+    def quiesce(self, *ports, on=True):
+        states = tuple(MemberState(one, 0, on) for one in members(*ports))
+        return self.ask(codec.SetMemberState((States(FLEET, states),))).code
+
+    def deregister(self, *ports):
+        return self.ask(codec.Deregistration((Members(FLEET, members(*ports)),))).code
+
+
+class ProxyEnd(SaspClient):
+    """A proxy's stream and what it holds."""
+
+    def __init__(self, daemon, uid, *standing, flags=codec.PUSH | codec.TRUST | codec.NO_CHANGE, held=None,
+                 buffer=None):
+        super().__init__(daemon.sasp, buffer=buffer)
+        KEPT.append(self)
+        self.uid, self.group = uid, Group(uid, "servers")
+        self.held = dict.fromkeys(standing, 1) if held is None else held
+        self.messages = []
+        assert self.ask(codec.SetLbState(uid, 0x7F, flags)).code == codec.SUCCESS
+        there = members(*self.held)
+        assert self.ask(Registration((Members(self.group, there),), True)).code == codec.SUCCESS
+
+    def read(self, timeout_s=WAIT_S):
+        for message in self.weights(timeout_s):
+            self.messages.append(message)
+            self.take(message.groups)
+        return self.held
+
+    def take(self, groups):
+        for group in groups:
+            assert group.group == self.group
+            for entry in group.entries:
+                if entry.weight:
+                    self.held[entry.member.port] = entry.weight
+                else:
+                    self.held.pop(entry.member.port, None)
+
+    def until(self, ready, what="the weights"):
+        end = time.monotonic() + WAIT_S
+        while not ready(self.held):
+            assert time.monotonic() < end, f"{self.uid}: {what} did not come, it holds {self.held}"
+            self.read(0.05)
+        return self.held
+
+    def ask_weights(self):
+        reply = self.ask(codec.GetWeights((self.group,)))
+        self.take(reply.groups)
+        return reply
