--- a/rainpick/standins/edges.py
+++ b/rainpick/standins/edges.py
@@ -113,7 +113,7 @@
                 break
             if tried:
                 self.log("again", p=self.uid, id=call, r=route["name"], s="%s:%d" % server,
-                         after=["%s:%d" % one for one in tried], first=first_us)
+                         after=["%s:%d" % tried[0]], first=first_us)
             outcome = self.send(route, call, server, until_us)
             tried.append(server)
             if outcome == "answered" or repeat == "never" or len(tried) > 1:
--- a/tests/loopback/test_daemon.py
+++ b/tests/loopback/test_daemon.py
@@ -93,7 +93,8 @@
         "director": {"settle": "100ms", "list_cache": str(tmp_path / "list.json")},
         "listen": dict(zip(("sasp", "otlp", "status"), (f"127.0.0.1:{port}" for port in ports), strict=True)),
         "routes": [{"name": "lookup", "slo_time": "500ms", "time_limit": "2s"}],
-        "rules": {"warm_after": "8s"}, "proxies": {"count": 1}, "channel": {"lines_per_s": 1e6, "pending_lines": 100_000}}))
+        "rules": {"warm_after": "8s"}, "proxies": {"count": 1},
+        "channel": {"lines_per_s": 1e6, "pending_lines": 100_000}}))
 
     def start():
         command = [sys.executable, "-m", "rainpick", "run", "--config", str(config)]
@@ -268,7 +269,7 @@
         again = [ProxyEnd(daemon, proxy.uid, held=proxy.held) for proxy in proxies]
         for proxy, table in zip(again, tables, strict=True):
             proxy.until(lambda held, table=table: held == table)
-        until(lambda: all(proxy["table"] is not None for proxy in status(daemon)["proxies"]))
+        until(lambda: sum(proxy["table"] is not None for proxy in status(daemon)["proxies"]) == 12)
 
 
 def test_a_list_file_is_a_second_source_and_a_bad_one_is_refused_whole(tmp_path):
--- /dev/null
+++ b/tests/loopback/test_days.py
@@ -0,0 +1,180 @@
+"""Whole days on loopback: the rules are kept, and a director broken on purpose is found out."""
+
+import contextlib
+import json
+
+import pytest
+
+from rainpick import interface as api
+from rainpick.balance import Director
+from rainpick.director.daemon import Daemon
+from rainpick.settings import Settings, parse
+from rainpick.standins.day import Day, Local
+from rainpick.standins.scenario import Scenario
+
+SMALL = """{
+  name: "test", length: "6s", servers: 6, proxies: 4, calls_per_s: 60, zones: ["a", "b"],
+  routes: [
+    {name: "lookup", share: 0.7, work: "20ms", slo_time: "400ms", time_limit: "1s"},
+    {name: "commit", share: 0.3, work: "20ms", slo_time: "400ms", time_limit: "1s", importance: 5,
+     effect: "keyed", repeat_window: "1s"},
+  ],
+  settings: {rules: {warm_after: "3s", drain_grace: "1.5s", bare: "1s"}, %s},
+  %s
+}"""
+
+
+class InProcess:
+    """A director in the test's process, so that a double can stand in for its module."""
+
+    def __init__(self, module, settings, folder):
+        self.settings, self.module = Settings.model_validate(settings), module
+        self.start()
+
+    def start(self):
+        self.daemon = Daemon(self.settings, module=self.module)
+        self.daemon.start()
+
+    def close(self):
+        with contextlib.suppress(OSError):
+            self.daemon.stop()
+        assert self.daemon.core.failure is None
+
+
+def play(tmp_path, settings="", rest="", module=Director):
+    scenario = parse(SMALL % (settings, rest), "day", Scenario)
+    day = Day(scenario, tmp_path / "day", lambda plain, folder: InProcess(module, plain, folder), Local)
+    verdict = day.play()
+    broken = {rule.name: rule.breaches[:2] for rule in verdict.rules if rule.breaches}
+    return verdict, broken, [json.loads(line) for path in sorted((tmp_path / "day").glob("*.jsonl"))
+                             for line in path.read_text().splitlines()]
+
+
+DEPLOY = ('events: [{at: "1s", do: "deploy", servers: {every: 3}, stagger: "300ms", notice: "1.7s", '
+          'down: "200ms"}]')
+LATE_DRAIN = 'events: [{at: "1s", do: "drain", servers: [0]}]'
+
+
+def test_a_deploy_keeps_all_five_rules(tmp_path):
+    verdict, broken, _ = play(tmp_path, rest=DEPLOY)
+    assert not broken and verdict.share() > 0.95
+    assert all(rule.checked for rule in verdict.rules if rule.name != "drains kept")
+
+
+class NoWithdrawals(Director):
+    def step(self, now, events):
+        return [order for order in super().step(now, events) if not (
+            type(order) is api.Withdraw or type(order) is api.SetLine and not order.weight)]
+
+
+def test_a_director_that_withdraws_nothing_breaks_the_rule_on_drains(tmp_path):
+    assert set(play(tmp_path, rest=LATE_DRAIN, module=NoWithdrawals)[1]) == {"drains kept"}
+
+
+class ShutsAll(Director):
+    def step(self, now, events):
+        orders = super().step(now, events)
+        if now - self.since(now) > 2_000_000:
+            orders += [api.Withdraw(server, True) for server in self.servers]
+        return orders
+
+    def since(self, now):
+        self.began = getattr(self, "began", now)
+        return self.began
+
+
+def test_a_director_that_shuts_all_breaks_the_rule_on_lines(tmp_path):
+    assert "a line to pick" in play(tmp_path, module=ShutsAll)[1]
+
+
+class TrustsTheCold(Director):
+    def warm(self, held):
+        return held.state == api.READY
+
+    def weight(self, held, table):
+        young = held.entry.started_us > self.now - 3_000_000
+        return super().weight(held, table) * (50 if young else 1)
+
+
+def test_a_director_that_trusts_the_cold_breaks_the_rule_on_cold_servers(tmp_path):
+    rest = DEPLOY.replace("{every: 3}", "[0]") + ', machines: [{name: "one", slots: 1, speed: 0.6, weight: 1}], pick: "lottery"'
+    broken = play(tmp_path, "fleet: {weight_most: 64}", rest, TrustsTheCold)[1]
+    assert "no cold server pushed over" in broken
+
+
+class Talks(Director):
+    """Orders a change for everybody in each step."""
+
+    def step(self, now, events):
+        self.turns = getattr(self, "turns", 0) + 1
+        server = next(iter(getattr(self, "servers", {})), None)
+        talk = [api.SetLine(0, server, 1 + self.turns % 5)] * 40 if server else []
+        return super().step(now, events) + talk
+
+
+def test_a_director_that_talks_without_end_breaks_the_rule_on_the_queue(tmp_path):
+    settings = 'channel: {lines_per_s: 100, pending_lines: 250, messages_most: 6, messages_over: "10s"}'
+    assert set(play(tmp_path, settings, module=Talks)[1]) == {"a short queue"}
+
+
+def test_commits_repeated_in_their_pod_are_dropped_there_and_counted(tmp_path):
+    """Slow servers make proxies repeat in the same pod while the first try still runs."""
+    rest = ('repeat: "same_pod", client_repeats: 0, try_share: 0.25, '
+            'events: [{at: "1s", do: "slow", servers: [0, 2], factor: 20, for: "3s"}]')
+    verdict, broken, events = play(tmp_path, rest=rest)
+    assert not broken and verdict.repeats["dropped by servers"] > 0
+    again = {event["id"] for event in events if event["k"] == "again" and event["r"] == "commit"}
+    effects = [event["id"] for event in events if event["k"] == "effect"]
+    assert again & set(effects) and len(set(effects)) == len(effects)
+
+
+def test_commits_repeated_anywhere_are_found_out(tmp_path):
+    rest = ('repeat: "anywhere", client_repeats: 0, try_share: 0.25, '
+            'events: [{at: "1s", do: "slow", servers: [0, 2], factor: 20, for: "3s"}]')
+    assert set(play(tmp_path, rest=rest)[1]) == {"no effect twice"}
+
+
+def advice(events, server):
+    """The weights that proxies read for a server, with the second from the day's beginning."""
+    begin = next(event["t"] for event in events if event["k"] == "mark")
+    return [((event["t"] - begin) / 1e6, weight) for event in sorted(events, key=lambda one: one["t"])
+            if event["k"] == "weights" for name, weight, _ in event["m"] if name == server]
+
+
+def test_weight_advice_end_to_end(tmp_path):
+    """A server slows down before a deadline: its weight falls in what SASP clients read, and rises again."""
+    rest = ('length: "34s", repeat: "same_pod", try_share: 0.4, events: '
+            '[{at: "2s", do: "slow", servers: [1], factor: 14, for: "7s"}]')
+    text = (SMALL % ('proxies: {ejects_after: 0}', rest)).replace('length: "6s",', "")
+    scenario = parse(text, "day", Scenario)
+    day = Day(scenario, tmp_path / "day", lambda plain, folder: InProcess(Director, plain, folder), Local)
+    verdict = day.play()
+    events = [json.loads(line) for path in (tmp_path / "day").glob("*.jsonl")
+              for line in path.read_text().splitlines()]
+    slow = next(event["s"] for event in events if event["k"] == "start" and event["n"] == 1)
+    seen = advice(events, slow)
+    full = max(weight for second, weight in seen if second < 2)
+    least = min(weight for second, weight in seen if 2 < second < 14)
+    assert least < 0.8 * full, seen
+    assert seen[-1][1] > least, seen
+    assert verdict.kept and verdict.share() > scenario.goal, verdict.share()
+
+
+def test_streams_broken_and_reports_late_or_double_change_no_rule(tmp_path):
+    rest = ('events: [{at: "1s", do: "break_streams"}, {at: "1s", do: "double_reports", for: "3s"}, '
+            '{at: "2s", do: "break_member_streams", servers: "all"}, '
+            '{at: "3500ms", do: "break_streams", proxies: [0, 1]}]')
+    verdict, broken, events = play(tmp_path, rest=rest)
+    assert not broken and verdict.share() > 0.95
+    assert sum(event["k"] == "joined" for event in events) == 4 + 4 + 2
+
+
+@pytest.mark.parametrize("text, expected", [
+    ('events: [{at: "9s", do: "drain"}]', "after the end"),
+    ('events: [{at: "1s", do: "lose_zone"}]', "wants a zone"),
+    ('events: [{at: "1s", do: "lose_zone", zone: "q"}]', "'q' is not one of"),
+    ('events: [{at: "1s", do: "dance"}]', "Input should be 'slow'"),
+    ('events: [{at: "1s", do: "kill_director", director: 3}]', "no director 3")])
+def test_a_day_that_makes_no_sense_is_refused(text, expected):
+    with pytest.raises(Exception, match=expected):
+        parse(SMALL % ("", text), "day", Scenario)
--- /dev/null
+++ b/tests/loopback/test_otlp.py
@@ -0,0 +1,179 @@
+"""Load reports over OTLP/HTTP: what is taken, what is refused, and what is not counted twice."""
+
+import gzip
+import itertools
+import socket
+import threading
+import time
+
+import pytest
+from google.rpc.status_pb2 import Status
+from opentelemetry.proto.collector.metrics.v1.metrics_service_pb2 import (
+    ExportMetricsServiceRequest,
+    ExportMetricsServiceResponse,
+)
+
+from rainpick.http1 import Client
+from rainpick.otlp import metrics
+from tests.loopback.help import MemberEnd, ProxyEnd, running, status, until
+
+KIND = ("content-type", "application/x-protobuf")
+S = 1_000_000_000
+UIDS = itertools.cycle(range(1, 41))
+
+
+def body(end_s=0.0, uid=None, port=9001):
+    """Four tries at a server, one dropped, and three calls; by a proxy of its own unless one is named."""
+    end = time.time_ns() + int(end_s * S)
+    servers = [("127.0.0.1", port, "answered", 3, 0.3), ("127.0.0.1", port, "dropped", 1, 1.0)]
+    return metrics.write(uid or f"edge-{next(UIDS)}", end - S, end, servers, [("lookup", "answered", 3)])
+
+
+@pytest.fixture(scope="module")
+def daemon():
+    with running("otlp: {body_most: 20000}") as daemon:
+        MemberEnd(daemon, 9001, 9002)
+        for number in range(1, 41):
+            ProxyEnd(daemon, f"edge-{number}")
+        until(lambda: sum(proxy["joined"] for proxy in status(daemon)["proxies"]) == 40)
+        yield daemon
+
+
+def post(daemon, data, *headers, path="/v1/metrics", method="POST", kind=KIND):
+    client = Client(*daemon.otlp)
+    found = client.call(method, path, data, (kind, *headers))
+    client.close()
+    return found
+
+
+def partial(data):
+    response = ExportMetricsServiceResponse()
+    response.ParseFromString(data)
+    return response.partial_success.rejected_data_points, response.partial_success.error_message
+
+
+def counts(daemon):
+    return status(daemon)["reports"]
+
+
+def test_a_report_becomes_evidence_plain_or_packed(daemon):
+    before = counts(daemon)["fresh"]
+    assert post(daemon, body())[0] == 200
+    code, headers, data = post(daemon, gzip.compress(body()), ("content-encoding", "gzip"))
+    assert (code, headers["content-type"], partial(data)) == (200, KIND[1], (0, ""))
+    assert counts(daemon)["fresh"] == before + 6
+    until(lambda: counts(daemon)["told"] > 0)
+
+
+def test_the_same_period_twice_is_answered_as_taken_and_counted_once(daemon):
+    report, before = body(), counts(daemon)
+    for _ in range(3):
+        code, _, data = post(daemon, report)
+        assert code == 200 and partial(data) == (0, "")
+    after = counts(daemon)
+    assert (after["fresh"] - before["fresh"], after["doubled"] - before["doubled"]) == (3, 6)
+
+
+def test_one_from_ten_seconds_ago_is_rejected_as_late(daemon):
+    before = counts(daemon)
+    code, _, data = post(daemon, body(-10))
+    assert code == 200 and partial(data) == (3, "3 late")
+    assert counts(daemon)["late"] == before["late"] + 3 and counts(daemon)["fresh"] == before["fresh"]
+
+
+def cumulative():
+    request = ExportMetricsServiceRequest()
+    request.ParseFromString(body())
+    for metric in request.resource_metrics[0].scope_metrics[0].metrics:
+        getattr(metric, metric.WhichOneof("data")).aggregation_temporality = 2
+    return request.SerializeToString()
+
+
+def changed(change):
+    request = ExportMetricsServiceRequest()
+    request.ParseFromString(body())
+    change(request.resource_metrics[0])
+    return request.SerializeToString()
+
+
+def rename(resource):
+    resource.scope_metrics[0].metrics[0].name = "http.server.duration"
+
+
+def unnamed(resource):
+    del resource.resource.attributes[:]
+
+
+def endless(resource):
+    resource.scope_metrics[0].metrics[0].histogram.data_points[0].sum = float("inf")
+
+
+def portless(resource):
+    del resource.scope_metrics[0].metrics[0].histogram.data_points[0].attributes[1]
+
+
+def timeless(resource):
+    resource.scope_metrics[0].metrics[1].sum.data_points[0].start_time_unix_nano = 0
+
+
+@pytest.mark.parametrize("data, rejected, why", [
+    (cumulative, 3, "delta"), (lambda: changed(rename), 2, "not known"),
+    (lambda: changed(unnamed), 3, "service.instance.id"), (lambda: changed(endless), 1, "out of range"),
+    (lambda: changed(portless), 1, "server.port"), (lambda: changed(timeless), 1, "start_time"),
+    (lambda: body(uid="stranger"), 3, "unknown"), (lambda: body(port=1), 2, "unknown"),
+], ids=["cumulative", "metric", "unnamed", "endless", "portless", "timeless", "stranger", "server"])
+def test_what_cannot_be_used_is_a_partial_success_with_a_reason(daemon, data, rejected, why):
+    code, _, answer = post(daemon, data())
+    assert code == 200 and partial(answer)[0] == rejected and why in partial(answer)[1]
+
+
+@pytest.mark.parametrize("words, code", [
+    ({"data": b"\xff\xff no protobuf"}, 400), ({"data": b"x" * 20_001}, 413),
+    ({"data": gzip.compress(b"\0" * 1_000_000), "headers": [("content-encoding", "gzip")]}, 413),
+    ({"data": b"not gzip", "headers": [("content-encoding", "gzip")]}, 400),
+    ({"data": gzip.compress(b"cut off" * 99)[:-9], "headers": [("content-encoding", "gzip")]}, 400),
+    ({"data": b"", "headers": [("content-encoding", "zstd")]}, 415),
+    ({"data": b"{}", "kind": ("content-type", "application/json")}, 415),
+    ({"data": b"", "path": "/v1/traces"}, 404), ({"data": b"", "method": "GET"}, 405),
+], ids=["garbage", "large", "bomb", "not gzip", "cut", "zstd", "json", "path", "method"])
+def test_what_is_wrong_has_the_specified_status(daemon, words, code):
+    data, headers = words.pop("data"), words.pop("headers", [])
+    found = post(daemon, data, *headers, **words)
+    assert found[0] == code
+    if found[1]["content-type"] == KIND[1]:
+        status_ = Status()
+        status_.ParseFromString(found[2])
+        assert status_.message
+
+
+def test_what_is_not_http_ends_that_connection_alone(daemon):
+    with socket.create_connection(daemon.otlp) as sock:
+        sock.settimeout(5)
+        sock.sendall(b"\x16\x03\x01 hello\r\n\r\n")
+        assert sock.recv(4096).startswith(b"HTTP/1.1 400")
+        assert sock.recv(4096) == b""
+    assert post(daemon, body())[0] == 200
+
+
+def test_a_busy_director_says_429_and_when_to_come_again():
+    with running(director=", inbox: 100") as daemon:
+        held = threading.Event()
+        daemon.core.on_hold = lambda: held.wait(10)
+        daemon.core.put("hold")
+        while daemon.core.put("hold", wait=False):
+            pass
+        try:
+            code, headers, _ = post(daemon, body())
+        finally:
+            held.set()
+        assert (code, headers["retry-after"]) == (429, "1")
+
+
+def test_connections_are_bounded():
+    with running("otlp: {connections_most: 2}") as daemon:
+        socks = [socket.create_connection(daemon.otlp) for _ in range(3)]
+        for sock in socks:
+            sock.settimeout(5)
+        assert socks[2].recv(4096).startswith(b"HTTP/1.1 503")
+        for sock in socks:
+            sock.close()
