--- a/rainpick/director/channel.py
+++ b/rainpick/director/channel.py
@@ -9,6 +9,8 @@
 
 from collections import deque
 
+GRAIN_US = 1_000  # the pace is kept to within this: a turn of the clock for each line would cost more than it
+
 
 class Waiting:
     """The message that waits for one proxy."""
@@ -84,7 +86,7 @@
 
     def take(self, now: int) -> Waiting | None:
         """The message to write now; None if there is none or the pace does not allow one yet."""
-        if self.free_us > now:
+        if self.free_us > now + GRAIN_US:
             return None
         for queue, urgent in ((self.urgent, True), (self.usual, False)):
             for _ in range(len(queue)):
@@ -92,7 +94,7 @@
                 message = self.waiting.get(proxy)
                 if message is None or message.urgent != urgent:
                     continue  # it left with an urgent one, or its proxy is gone
-                if proxy in self.blocked or self.allowed_us(proxy, now) > now:
+                if proxy in self.blocked or self.most and self.allowed_us(proxy, now) > now:
                     self.held_back += proxy not in self.blocked
                     queue.append(proxy)
                     continue
@@ -113,4 +115,4 @@
         if not able:
             return None
         ready = now if not self.most else min(self.allowed_us(proxy, now) for proxy in able)
-        return max(ready, int(self.free_us) + (self.free_us > int(self.free_us)))
+        return max(ready, int(self.free_us) + 1 - GRAIN_US)
--- a/rainpick/director/core.py
+++ b/rainpick/director/core.py
@@ -44,8 +44,9 @@
 class Served:
     """A stream's proxy: who it is and how far it has shown that it reads."""
 
-    def __init__(self, uid: str, number: int, stream: Stream, flags: int):
+    def __init__(self, uid: str, group: str, number: int, stream: Stream, flags: int):
         self.uid, self.number, self.stream, self.flags = uid, number, stream, flags
+        self.group = codec.write_group(Group(uid, group))
         self.registered = self.joined = False  # its group is; the decisions know of it
         self.standing: frozenset = frozenset()
         self.message = 0  # ids of pushed messages
@@ -220,7 +221,7 @@
             return
         self.streams[stream.number] = stream
         self.unknown[stream.number] = self.clock() + self.settings.sasp.hello
-        stream.thread.start()
+        stream.start()
 
     def on_came(self, stream: Stream, found: Asked | Refused | Ended) -> None:
         if self.streams.get(stream.number) is not stream:
@@ -323,10 +324,10 @@
             if other is not None:  # the newer stream counts: the older may be dead, not noticed yet
                 self.counts["replaced"] += 1
                 self.end(other.stream, "another stream has the same LB UID")
-            served = Served(message.uid, self.proxies.number(message.uid), stream, message.flags)
+            number = self.proxies.number(message.uid)
+            served = Served(message.uid, self.settings.fleet.group, number, stream, message.flags)
             self.served[stream.number] = self.by_uid[message.uid] = served
             self.by_number[served.number] = served
-            self.log.info("proxy known", proxy=message.uid, peer=stream.peer, number=served.number)
         served.flags = message.flags
         if self.engine is not None and served.joined:
             self.engine.blocked(served.number, not served.pushes or served.blocked_us is not None)
@@ -362,7 +363,8 @@
         self.engine.now = max(self.engine.now, now)
         self.engine.joined(served.number, True, rate, zone, served.standing)
         self.engine.blocked(served.number, not served.pushes)
-        self.log.info("proxy joined", proxy=served.uid, holds=len(served.standing))
+        self.log.info("proxy joined", proxy=served.uid, number=served.number, peer=served.stream.peer,
+                      holds=len(served.standing))
 
     def get_weights(self, served: Served, number: int, message: GetWeights) -> None:
         interval = self.settings.sasp.poll_interval_s
@@ -375,11 +377,11 @@
             return
         if not served.pushes and served.message:
             self.engine.delivered(served.number, served.message)  # it asks again: it has read the last answer
-        mark, news = self.engine.pull(served.number)
+        mark, way = self.engine.pull(served.number)
         brief = not served.pushes and served.flags & codec.NO_CHANGE and served.message
-        lines = news if brief else self.engine.tables.all_lines(served.number)
+        lines = way.lines if brief else self.engine.tables.all_lines(served.number)
         fixed = codec.BYTE.pack(codec.SUCCESS) + codec.SHORT.pack(interval) + codec.SHORT.pack(1)
-        rows = codec.group_of_weights(group, len(lines), self.rows(lines))
+        rows = codec.group_of_weights(served.group, len(lines), self.rows(lines))
         data = codec.frame(number, codec.GET_WEIGHTS_REPLY, fixed, rows)
         if served.pushes:
             self.send(served, data, mark)
@@ -389,6 +391,8 @@
 
     def rows(self, lines: tuple[Line, ...]) -> bytes:
         """Weight entries as bytes; proxies of one table share them."""
+        if not lines:
+            return b""
         known = self.encoded.get(id(lines))
         if known is not None and known[0] is lines:
             return known[1]
@@ -411,16 +415,16 @@
     def push(self, write: Write, now: int) -> None:
         """Send Weights to one proxy, without waiting."""
         served = self.by_number[write.proxy]
-        lines = write.lines
+        shut, rest = write.way
         if not served.flags & codec.NO_CHANGE:
-            lines = tuple(sorted({line.server: line for line in
-                                  (*self.engine.tables.all_lines(write.proxy), *lines)}.values()))
+            held = self.engine.tables.proxies[write.proxy].holds
+            shut, rest = tuple([line for line in shut if line.server not in held.lines]), held.whole()
         if served.unproven_us is None:
             served.unproven_us, served.answered = now, False
-        group = Group(served.uid, self.settings.fleet.group)
         served.message = (served.message + 1) & 0x7FFFFFFF
-        self.send(served, codec.send_weights_frame(served.message, group, len(lines), self.rows(lines)),
-                  write.number)
+        rows = self.rows(shut) + self.rows(rest)
+        frame = codec.send_weights_frame(served.message, served.group, len(shut) + len(rest), rows)
+        self.send(served, frame, write.number)
 
     def send(self, served: Served, data: bytes, mark: int) -> None:
         stream = served.stream
@@ -431,7 +435,6 @@
             self.stalled.add(stream.number)
             self.block(served, True)
         self.undelivered.add(stream.number)
-        self.prove(stream.number)
 
     def block(self, served: Served, on: bool) -> None:
         served.blocked_us = (served.blocked_us or self.clock()) if on else None
--- a/rainpick/director/daemon.py
+++ b/rainpick/director/daemon.py
@@ -6,6 +6,7 @@
 import secrets
 import signal
 import socket
+import sys
 import threading
 import time
 from collections.abc import Callable
@@ -23,6 +24,7 @@
 from rainpick.settings import Settings, SettingsError
 
 STACK = 256 * 1024
+SWITCH_S = 0.001  # a drain that comes in while the core works must not wait longer for its reading thread
 LOOK_S = 1.0  # how often the list file is looked at
 log = structlog.get_logger()
 
@@ -34,6 +36,7 @@
         self.settings = settings
         seed = settings.director.seed or secrets.randbits(63)
         threading.stack_size(STACK)
+        sys.setswitchinterval(SWITCH_S)
         self.core = Core(settings, seed, module)
         self.ended, self.seen = threading.Event(), None
         self.core.on_failure = self.ended.set
--- a/rainpick/director/engine.py
+++ b/rainpick/director/engine.py
@@ -8,23 +8,25 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable, Hashable
+from collections.abc import Callable, Hashable, Iterator
 from heapq import heappop, heappush
 from typing import NamedTuple
 
 from rainpick import interface as api
 from rainpick.balance import Director
 from rainpick.director.channel import Channel
-from rainpick.director.tables import Line, Scale, Tables
+from rainpick.director.tables import Scale, Tables, Way
 from rainpick.settings import Settings, plain_map
 
+LAZY_US = 5_000  # what only says that messages have left may wait so long for a step
+
 
 class Write(NamedTuple):
     """A message to a proxy. ``number`` counts its messages; ``delivered`` wants it back."""
 
     proxy: int
     number: int
-    lines: tuple[Line, ...]
+    way: Way
 
 
 class Unread:
@@ -57,6 +59,8 @@
         self.tables = Tables(Scale(settings.fleet.weight_most), self.listed_weight)
         self.timers: list[tuple[int, int]] = []
         self.events: list = [api.Started(seed, plain_map(settings))]
+        self.applied: list[api.Applied] = []
+        self.applied_us = now  # since when the first of them waits
         self.unread: dict[int, Unread] = {}
         self.counts, self.notes, self.now = Counts(), deque(maxlen=100), now
         # Told of each step: its clock, the events, the orders.
@@ -84,6 +88,7 @@
             self.tables.leave(proxy)
             self.channel.left(proxy)
             del self.unread[proxy]
+            self.applied = [answer for answer in self.applied if answer.proxy != proxy]
             self.events.append(api.ProxyLeft(proxy))
 
     def met(self, lines: list) -> None:
@@ -95,14 +100,19 @@
         unread = self.unread.get(proxy)
         while unread and unread.sent and unread.sent[0][0] <= number:
             _, marks, when = unread.sent.popleft()
-            self.events += [api.Applied(proxy, mark, self.now - when) for mark in marks]
+            self.answer(proxy, marks, self.now - when)
+
+    def answer(self, proxy: int, marks: list[int], took_us: int) -> None:
+        if marks and not self.applied:
+            self.applied_us = self.now
+        self.applied += [api.Applied(proxy, mark, took_us) for mark in marks]
 
-    def pull(self, proxy: int) -> tuple[int, tuple[Line, ...]]:
+    def pull(self, proxy: int) -> tuple[int, Way]:
         """A proxy asks for what it is to hold: the number of the answer, and the lines that are new in it."""
-        lines, unread = self.tables.advance(proxy), self.unread[proxy]
+        way, unread = self.tables.advance(proxy), self.unread[proxy]
         unread.number += 1
         unread.sent.append((unread.number, self.channel.pull(proxy), self.now))
-        return unread.number, lines
+        return unread.number, way
 
     def holds_more(self, proxy: int, standing) -> None:
         """A proxy says that it holds further servers from before."""
@@ -119,17 +129,17 @@
     def due_us(self) -> int | None:
         """When ``advance`` is next wanted, if nothing happens before."""
         times = [self.timers[0][0]] if self.timers else []
-        times += [self.now] if self.events else []
+        times += [self.now] if self.events else [self.applied_us + LAZY_US] if self.applied else []
         channel_us = self.channel.due_us(self.now)
         return min(times + ([channel_us] if channel_us is not None else []), default=None)
 
-    def advance(self, now: int) -> list[Write]:
-        """Let the module take all that waits, in one step; what is to be written now."""
+    def advance(self, now: int) -> Iterator[Write]:
+        """Let the module take all that waits, in one step; then what is to be written now, one by one."""
         self.now = max(self.now, now)
         while self.timers and self.timers[0][0] <= self.now:
             self.events.append(api.TimerDue(heappop(self.timers)[1]))
-        if self.events:
-            events, self.events = self.events, []
+        if self.events or self.applied and self.now >= self.applied_us + LAZY_US:
+            events, self.events, self.applied = [*self.events, *self.applied], [], []
             orders = self.director.step(self.now, events)
             self.counts.steps += 1
             self.counts.events += len(events)
@@ -137,7 +147,7 @@
             if self.watch is not None:
                 self.watch(self.now, events, orders)
             self.carry_out(orders)
-        return self.writes()
+        yield from self.writes()
 
     def carry_out(self, orders: list) -> None:
         reached: dict[int, int] = {}
@@ -166,21 +176,20 @@
         for proxy, lines in reached.items():
             self.channel.order(proxy, lines, proxy in urgent, mark, self.now)
 
-    def writes(self) -> list[Write]:
-        found = []
+    def writes(self) -> Iterator[Write]:
         while (message := self.channel.take(self.now)) is not None:
             proxy = message.proxy
-            lines, unread = self.tables.advance(proxy), self.unread[proxy]
+            way, unread = self.tables.advance(proxy), self.unread[proxy]
+            lines = len(way.shut) + len(way.rest)
             if not lines:  # an earlier message carried it; that one's delivery answers these marks, too
                 if unread.sent:
                     unread.sent[-1][1].extend(message.marks)
                 else:
-                    self.events += [api.Applied(proxy, mark, 0) for mark in message.marks]
+                    self.answer(proxy, message.marks, 0)
                 continue
             unread.number += 1
             unread.sent.append((unread.number, message.marks, self.now))
-            self.channel.wrote(proxy, len(lines), self.now)
+            self.channel.wrote(proxy, lines, self.now)
             self.counts.messages += 1
-            self.counts.lines += len(lines)
-            found.append(Write(proxy, unread.number, lines))
-        return found
+            self.counts.lines += lines
+            yield Write(proxy, unread.number, way)
--- a/rainpick/director/membership.py
+++ b/rainpick/director/membership.py
@@ -52,7 +52,7 @@
 class Held:
     """One server, and which sources speak for it."""
 
-    __slots__ = ("key", "described", "started_us", "quiesced", "owner", "gone_us", "filed", "told", "state")
+    __slots__ = ("key", "described", "started_us", "quiesced", "owner", "filed", "told", "state")
 
     def __init__(self, key: Key):
         self.key = key
@@ -60,7 +60,6 @@
         self.started_us = 0
         self.quiesced = False
         self.owner: int | None = None  # the stream that registered it
-        self.gone_us: int | None = None  # its stream broke; gone then
         self.filed: Filed | None = None
         self.told: api.Server | None = None  # as the decisions know it
         self.state = 0  # the opaque state that the member set
@@ -75,6 +74,7 @@
         self.rules = [(Match(rule.match), rule) for rule in fleet.servers]
         self.held: dict[Key, Held] = {}
         self.changed: set[Key] = set()
+        self.leaving: dict[Key, int] = {}  # whose streams broke: when they are gone
         self.version = 0
         # Without a word of their age, members that come while a director starts are taken for old ones:
         # the design's "ready servers full weight after a restart".
@@ -148,7 +148,7 @@
         if key not in self.held:
             self.held[key], self.newest_us = Held(key), now
         held = self.held[key]
-        known = held.owner is not None or held.gone_us is not None
+        known = held.owner is not None or key in self.leaving
         same = known and held.described is not None and held.described.boot == what.boot
         if not same:
             held.quiesced, held.state = False, 0
@@ -158,7 +158,8 @@
                 held.started_us = held.filed.started_us
             else:
                 held.started_us = 0 if now < self.settled_us and not known else now
-        held.described, held.owner, held.gone_us = what, stream, None
+        held.described, held.owner = what, stream
+        self.leaving.pop(key, None)
         self.changed.add(key)
 
     def owned(self, stream: int, key: Key) -> Held:
@@ -185,15 +186,17 @@
             self.changed.add(held.key)
 
     def leave(self, held: Held) -> None:
-        held.owner = held.gone_us = held.described = None
+        held.owner = held.described = None
         held.quiesced = False
+        self.leaving.pop(held.key, None)
         self.changed.add(held.key)
 
     def stream_broke(self, stream: int, now: int) -> None:
         """Its servers go when the grace has passed, if no other stream has registered them by then."""
         for held in self.held.values():
             if held.owner == stream:
-                held.owner, held.gone_us = None, now + self.settings.fleet.member_grace
+                held.owner = None
+                self.leaving[held.key] = now + self.settings.fleet.member_grace
 
     # The list file and the cached list
 
@@ -215,7 +218,7 @@
             held = self.held.setdefault(line.key, Held(line.key))
             held.described = Described(line.weight, line.zone, line.machine, line.pod, None, None)
             held.started_us, held.quiesced = line.started_us, line.draining
-            held.gone_us = now + self.settings.fleet.member_grace + self.settings.director.settle
+            self.leaving[line.key] = now + self.settings.fleet.member_grace + self.settings.director.settle
             self.changed.add(line.key)
 
     # What the decisions are told
@@ -238,18 +241,18 @@
 
     def due_us(self) -> int | None:
         """When the next grace passes."""
-        return min((held.gone_us for held in self.held.values() if held.gone_us is not None), default=None)
+        return min(self.leaving.values(), default=None)
 
     def expire(self, now: int) -> list[Key]:
         """Servers whose grace has passed."""
-        late = [held for held in self.held.values() if held.gone_us is not None and held.gone_us <= now]
-        for held in late:
-            self.leave(held)
-        return [held.key for held in late]
+        late = [key for key, gone_us in self.leaving.items() if gone_us <= now]
+        for key in late:
+            self.leave(self.held[key])
+        return late
 
     def entry(self, held: Held) -> api.Server | None:
         """A server as the list has it; None if no source has it."""
-        here = held.owner is not None or held.gone_us is not None
+        here = held.owner is not None or held.key in self.leaving
         if not here and held.filed is None:
             return None
         draining = here and held.quiesced or held.filed is not None and held.filed.draining
--- a/rainpick/director/status.py
+++ b/rainpick/director/status.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+import _thread
 import json
-import threading
 from typing import TYPE_CHECKING, Any
 
 from rainpick import interface as api
@@ -22,7 +22,7 @@
         "director": names.director.number,
         "phase": "settling" if engine is None else "deciding",
         "up_s": round((now - core.born_us) / 1e6, 3),
-        "threads": threading.active_count(),
+        "threads": _thread._count(),
         "streams": {"open": len(core.streams), **core.counts},
         "inbox": {"waiting": core.inbox.qsize(), **core.waits},
         "reports": {**core.evidence.counts, "unknown": core.evidence.unknown, "told": core.evidence.told},
--- a/rainpick/director/streams.py
+++ b/rainpick/director/streams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import _thread
 import contextlib
 import fcntl
 import socket
@@ -15,6 +16,7 @@
 
 PIECE = 16_384
 SEND_BUFFER = 65_536  # small, so that a peer that does not read shows soon
+NOW = int(socket.MSG_DONTWAIT | socket.MSG_NOSIGNAL)  # a send that never waits
 BACKLOG = 1_048_576  # bytes held for a peer beyond what its socket took; no honest one gets there
 
 
@@ -31,7 +33,10 @@
         self.closed = False
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER)
-        self.thread = threading.Thread(target=self.read, name=f"stream-{number}", daemon=True)
+
+    def start(self) -> None:
+        """Begin to read. Not a ``Thread``: starting one waits for it, and hundreds dial at once."""
+        _thread.start_new_thread(self.read, ())
 
     def read(self) -> None:
         try:
@@ -54,15 +59,23 @@
         self.handed += len(data)
         if mark is not None:
             self.marks.append((self.handed, mark))
-        self.rest += data
-        self.pump()
+        if not self.rest and not self.closed:
+            try:
+                data = data[self.sock.send(data, NOW):]
+            except BlockingIOError:
+                pass
+            except OSError:
+                return True  # its reader will say that it broke
+        if data:
+            self.rest += data
+            self.pump()
         return len(self.rest) <= BACKLOG
 
     def pump(self) -> None:
         """Send what the socket takes of the rest."""
         while self.rest and not self.closed:
             try:
-                sent = self.sock.send(self.rest, socket.MSG_DONTWAIT | socket.MSG_NOSIGNAL)
+                sent = self.sock.send(self.rest, NOW)
             except BlockingIOError:
                 return
             except OSError:
--- a/rainpick/director/tables.py
+++ b/rainpick/director/tables.py
@@ -51,28 +51,56 @@
         return 0.5 / (weight * self.factor)
 
 
+class Way(NamedTuple):
+    """What to read to get from one snapshot to another: first what is shut out, then the rest."""
+
+    shut: tuple[Line, ...]
+    rest: tuple[Line, ...]
+
+    @property
+    def lines(self) -> tuple[Line, ...]:
+        return self.shut + self.rest
+
+
+NOWHERE = Way((), ())
+
+
 class Snapshot:
-    """What a proxy holds; ``ways`` keeps how to get from here to later ones."""
+    """What a proxy holds; ``ways`` keeps how to get from here to later ones.
+
+    Not ``known``: it says which servers, but not with which weights, so all lines of the other must be read.
+    """
 
-    __slots__ = ("lines", "ways")
+    __slots__ = ("lines", "known", "ways", "all")
 
-    def __init__(self, lines: Lines):
-        self.lines, self.ways = lines, {}
+    def __init__(self, lines: Lines, known: bool = True):
+        self.lines, self.known, self.ways = lines, known, {}
+        self.all: tuple[Line, ...] | None = None
 
-    def to(self, other: Snapshot) -> tuple[Line, ...]:
-        """The lines to read to get there: what is shut first, then what is eased, then the rest."""
+    def whole(self) -> tuple[Line, ...]:
+        if self.all is None:
+            rows = [Line(server, *held) for server, held in self.lines.items()]
+            self.all = tuple(sorted(rows, key=lambda line: (line.weight > 0, line)))
+        return self.all
+
+    def to(self, other: Snapshot) -> Way:
+        """The lines to read to get there."""
         if other is self:
-            return ()
+            return NOWHERE
+        if not self.known:
+            gone = self.lines.keys() - other.lines.keys()
+            return Way(tuple([Line(server, 0, OUT) for server in sorted(gone)]), other.whole())
         known = self.ways.get(other)
         if known is None:
-            rows = [Line(server, 0, OUT) for server in self.lines.keys() - other.lines.keys()]
-            rows += [Line(server, *held) for server, held in other.lines.items()
-                     if self.lines.get(server) != held]
-            rows.sort(key=lambda line: (line.weight > 0, line))
+            shut = [Line(server, 0, OUT) for server in self.lines.keys() - other.lines.keys()]
+            rest = [Line(server, *held) for server, held in other.lines.items()
+                    if self.lines.get(server) != held]
+            shut += [line for line in rest if not line.weight]
             # Proxies far behind each other's times come from few snapshots; a handful of ways is enough.
             if len(self.ways) >= 8:
                 self.ways.clear()
-            known = self.ways[other] = tuple(rows)
+            known = Way(tuple(sorted(shut)), tuple(sorted(line for line in rest if line.weight)))
+            self.ways[other] = known
         return known
 
 
@@ -85,7 +113,7 @@
         self.number, self.table = number, None
         # What it holds from before: it named the servers; their weights are not known here.
         self.reach = frozenset(standing)
-        self.holds = Snapshot(dict.fromkeys(self.reach, (weight, 0)))
+        self.holds = Snapshot(dict.fromkeys(self.reach, (weight, 0)), known=False)
 
 
 class Tables:
@@ -111,7 +139,7 @@
         proxy = self.proxies[number]
         more = {server: (self.scale(1.0), 0) for server in standing if server not in proxy.holds.lines}
         proxy.reach |= more.keys()
-        proxy.holds = Snapshot(proxy.holds.lines | more)
+        proxy.holds = Snapshot(proxy.holds.lines | more, proxy.holds.known)
         return len(more)
 
     def leave(self, number: int) -> None:
@@ -172,17 +200,24 @@
                 lines[server] = 0, SHUT
             elif server not in self.withdrawn and not weight:
                 lines[server] = self.scale(self.weight_of(server)), OPEN
-        return proxy.holds if lines == proxy.holds.lines else Snapshot(lines)
+        return proxy.holds if lines == proxy.holds.lines else Snapshot(lines, known=False)
 
-    def advance(self, number: int) -> tuple[Line, ...]:
+    def advance(self, number: int) -> Way:
         """The lines that bring a proxy up to date; it counts as holding them from here on."""
         proxy = self.proxies[number]
         target = self.target(proxy)
-        rows = proxy.holds.to(target)
+        way = self.loose_way(proxy, target) if proxy.table is None else proxy.holds.to(target)
         proxy.holds = target
-        return rows
+        return way
+
+    @staticmethod
+    def loose_way(proxy: Proxy, target: Snapshot) -> Way:
+        """Only what is withdrawn or readmitted: of the rest an unbound proxy knows more than is known."""
+        news = [Line(server, *held) for server, held in sorted(target.lines.items())
+                if held != proxy.holds.lines[server]]
+        return Way(tuple([line for line in news if not line.weight]),
+                   tuple([line for line in news if line.weight]))
 
     def all_lines(self, number: int) -> tuple[Line, ...]:
         """Everything that a proxy holds, for one that wants the whole each time."""
-        held = self.proxies[number].holds
-        return tuple(sorted(Line(server, *line) for server, line in held.lines.items()))
+        return self.proxies[number].holds.whole()
--- a/rainpick/sasp/codec.py
+++ b/rainpick/sasp/codec.py
@@ -252,9 +252,12 @@
     return PIECE.pack(kind, 6) + SHORT.pack(len(rows)) + write_group(group) + b"".join(rows)
 
 
-def group_of_weights(group: Group, count: int, rows: bytes) -> bytes:
-    """A group of ``count`` weight entries that are written already: many proxies get the same ones."""
-    return PIECE.pack(GROUP_OF_WEIGHTS, 6) + SHORT.pack(count) + write_group(group) + rows
+WEIGHTS_HEAD = struct.Struct(">HHH")
+
+
+def group_of_weights(group: bytes, count: int, rows: bytes) -> bytes:
+    """A group of ``count`` weight entries; group and entries are written already: many proxies share them."""
+    return WEIGHTS_HEAD.pack(GROUP_OF_WEIGHTS, 6, count) + group + rows
 
 
 def frame(number: int, kind: int, fixed: bytes, rest: bytes = b"") -> bytes:
@@ -262,9 +265,14 @@
     return HEAD.pack(HEADER, HEAD.size, VERSION, HEAD.size + len(body), number) + body
 
 
-def send_weights_frame(number: int, group: Group, count: int, rows: bytes) -> bytes:
-    """Send Weights with one group, from entries that are written already."""
-    return frame(number, SEND_WEIGHTS, SHORT.pack(1), group_of_weights(group, count, rows))
+PUSH_HEAD = struct.Struct(">HHBIiHHHHHH")  # header, message of one group, group of weights
+
+
+def send_weights_frame(number: int, group: bytes, count: int, rows: bytes) -> bytes:
+    """Send Weights with one group; what does not differ between proxies is written already."""
+    size = PUSH_HEAD.size + len(group) + len(rows)
+    return PUSH_HEAD.pack(HEADER, HEAD.size, VERSION, size, number, SEND_WEIGHTS, 6, 1, GROUP_OF_WEIGHTS, 6,
+                          count) + group + rows
 
 
 def write(message: Message, number: int = 0) -> bytes:
