Binding the proxies of a dead director brings no ramp steps forward, and the queue is shorter

Cause, from the orders step by step: 185 proxies joined the director that was left; laying tables for them updated every other table of each server as well (2,000 of 7,000 lines), and the last bind waited 2.1 s for room and 2.5 s in the channel. Now only the tables that need lines get them, what binds and ramp steps fill lasts for half of the grace at most, and lines of servers that drained and are gone leave the tables.

--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -32,6 +32,7 @@
 COPIES, THIN = 2, 0.5  # tables that hold a server, at least; a table under this part of the mean gets more
 
 ROOM = 0.5  # ramp steps leave this part of the channel's queue to withdrawals, binds half of that
+QUEUE = 0.5  # what binds and ramp steps fill lasts for this part of the grace at most
 BURST = 0.4  # of the messages that a proxy may be written, this part may go out at once
 
 DEEP_LOAD = 2.7  # cold servers get less from this part of the fall multiple on, as middle time in SLO times
@@ -159,6 +160,9 @@
         self.tables, self.loose, self.due = [], Table(None), []
         self.mark, self.next_tick, self.next_beat = 0, self.now, self.now
         self.waiting, self.written = 0, []  # lines that no proxy has answered; what is written in this step
+        # Withdrawals wait behind all that was written before: the queue may last for a part of the grace.
+        self.pending = self.get("proxies.pending_max", 1e9)
+        self.grace_lines = self.get("proxies.lines_per_s", 1e9) * self.get("rules.drain_grace_us", 1e9) / 1e6
         self.head = self.get("proxies.head", 0) + 1  # lines of a message beside its own, its mark too
         self.period_us = self.bucket_us = self.ease_us = self.get("proxies.report_every_us", TICK_US)
         self.expected, self.directors = self.get("proxies.proxy_count", 0), self.get("directors", 1)
@@ -523,8 +527,8 @@
 
     def lay(self):
         """Write what changed: withdrawals at once, ramp steps by the tick, binds as the queue allows."""
-        pending = self.get("proxies.pending_max", 1e9)
-        keep, self.spare = (1 - ROOM) * pending, pending - self.waiting
+        room = min(self.pending, QUEUE * self.grace_lines)
+        keep, self.spare = self.pending - ROOM * room, self.pending - self.waiting
         warm = {held: None for held in self.servers.values() if self.warm(held)}
         for held in warm if all(held.eject_until for held in warm) else ():
             held.eject_until = 0  # the rest has left the list since: any line beats none
@@ -549,38 +553,50 @@
         served, heated = ({number for held in group if not held.shut for number in held.told}
                           for group in (self.servers.values(), warm))
         for held in self.servers.values():
-            if any(table.used and table.number not in served for table in held.tables):
-                self.change(held, 1, 0)
+            bare = [table for table in held.tables if table.used and table.number not in served]
+            if bare:
+                self.change(held, 1, 0, bare)
         for table in [table for table in self.tables if table.used]:
             news = [route for route in self.routes if table.said.get(route) != self.let_in[route]]
             orders = [api.Admit(table.number, 1 << route, self.let_in[route], api.NO_RETRY) for route in news]
             if news and self.put(orders, [table], len(news), 2, 0):
                 table.said.update(self.let_in)
-        self.bind(keep / 2)  # before the rest, as what a loose proxy holds may have drained meanwhile
+        keep_bind = self.pending - (1 + ROOM) / 2 * room
+        self.bind(keep_bind)  # before the rest, as what a loose proxy holds may have drained meanwhile
         # Cold servers must not wait for the tick to get much less, nor, on a table alone, for warm ones.
         for held in self.servers.values():
             less = not held.shut and max(held.told.values(), default=0.0) > 1.5 * held.laid()
-            if less or held in warm and any(table.number not in heated for table in held.tables):
-                self.change(held, 2, keep / 2)
+            cool = [table for table in held.tables if table.number not in heated] if held in warm else ()
+            if less or cool:
+                self.change(held, 2, keep_bind, None if less else cool)
         self.due = [held for held in self.due if self.loose.proxies or not self.change(held, 2, keep)]
         self.seal()
 
-    def change(self, held, least, keep):
-        """Tell the tables of a server its weight, if that is news and there is room."""
-        address, told = held.entry.address, {}
+    def change(self, held, least, keep, needy=None):
+        """Tell the tables of a server its weight, if that is news and there is room; the needy ones alone?
+
+        Laying a table for proxies that just joined must not bring ramp steps forward in all others: those
+        waited in the channel before the binds of a dead director's proxies.
+
+        The lines of one that drained and is gone go, too: a deploy would fill tables with them, and each is
+        two lines of a bind, so that binding the proxies of a dead director took longer than the grace.
+        """
+        address, told, gone = held.entry.address, {}, held.state == GONE
         for table in held.tables:
             if table.used and (weight := self.weight(held, table)):
                 told[table.number] = weight
+        if needy is not None and not held.shut:
+            told = held.told | {table.number: told[table.number] for table in needy if table.number in told}
         stale = [table for table in held.tables if told.get(table.number) != held.told.get(table.number)]
-        if not held.part or not stale and not held.shut:
+        if not held.part and not (gone and held.shut) or not stale and (gone or not held.shut):
             return True
         orders = [api.SetLine(table.number, address, told.get(table.number, 0.0)) for table in stale]
-        if held.shut:
+        if held.shut and not gone:
             orders.append(api.Withdraw(address, False))
             stale = [table for table in held.tables if table.number in told or table in stale] + [self.loose]
-        if not self.put(orders, stale, 1 + held.shut, least, keep):
+        if not self.put(orders, stale, 1 + (held.shut and not gone), least, keep):
             return False
-        held.shut, held.told = False, told
+        held.shut, held.told = held.shut and gone, told
         return True
 
     def bind(self, keep):
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -133,7 +133,8 @@
 def test_a_day_prints_a_verdict_and_exits_by_it(tmp_path):
     path = tmp_path / "day.json5"
     text = ('{name: "d", length: "2s", servers: 2, proxies: 2, calls_per_s: 20, zones: ["a"], goal: %s, '
-            'client_repeats: 0, events: [{at: "500ms", do: "drop", servers: "all", share: 0.5, for: "500ms"}]}')
+            'client_repeats: 0, '
+            'events: [{at: "500ms", do: "drop", servers: "all", share: 0.5, for: "500ms"}]}')
     for goal, code in ((0.5, 0), (1.0, 1)):
         path.write_text(text % goal)
         found = CliRunner().invoke(main, ["day", str(path), "--dir", str(tmp_path / "logs"), "--json"])
