--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -528,7 +528,8 @@
     def lay(self):
         """Write what changed: withdrawals at once, ramp steps by the tick, binds as the queue allows."""
         room = min(self.pending, QUEUE * self.grace_lines)
-        keep, self.spare = self.pending - ROOM * room, self.pending - self.waiting
+        keep, keep_bind = self.pending - ROOM * room, self.pending - (1 + ROOM) / 2 * room
+        self.spare = self.pending - self.waiting
         warm = {held: None for held in self.servers.values() if self.warm(held)}
         for held in warm if all(held.eject_until for held in warm) else ():
             held.eject_until = 0  # the rest has left the list since: any line beats none
@@ -544,11 +545,15 @@
         self.spill()
         self.deal()
         closing = [held for held in self.servers.values() if held.part <= 0 and not held.shut]
-        for held in sorted(closing, key=lambda held: held.state == READY):
+        # Ejections, and what only a list that may be wrong calls gone, leave room and a message to drains:
+        # a queue that they had filled let drains in one by one, each with the heads of its messages.
+        binds = {DRAINING} if self.get("rules.gone_does_not_bind", False) else {DRAINING, GONE}
+        for held in sorted(closing, key=lambda held: (held.state not in binds, held.state == READY)):
             gone, orders = held.state == GONE, [api.Withdraw(held.entry.address, True)]
             orders += [api.SetLine(number, held.entry.address, 0.0) for number in held.told if gone]
             tables = [table for table in held.tables if table.number in held.told] + [self.loose]
-            if self.put(orders, tables, 1 + gone, 1 + (held.state == READY), 0):  # ejections keep one
+            least, spared = (1, 0) if held.state in binds else (2, keep_bind)
+            if self.put(orders, tables, 1 + gone, least, spared):
                 held.shut, held.told = True, {} if gone else held.told
         served, heated = ({number for held in group if not held.shut for number in held.told}
                           for group in (self.servers.values(), warm))
@@ -561,7 +566,6 @@
             orders = [api.Admit(table.number, 1 << route, self.let_in[route], api.NO_RETRY) for route in news]
             if news and self.put(orders, [table], len(news), 2, 0):
                 table.said.update(self.let_in)
-        keep_bind = self.pending - (1 + ROOM) / 2 * room
         self.bind(keep_bind)  # before the rest, as what a loose proxy holds may have drained meanwhile
         # Cold servers must not wait for the tick to get much less, nor, on a table alone, for warm ones.
         for held in self.servers.values():
