Less weight for cold servers may use the message that is kept for drains

Cause: 49 servers of a zone were back within a second and a half, the list told of them in five pieces, and the director, back itself, had laid them at full weight from its old list. The first piece took the second last message of the proxies, the rest waited for two messages a proxy, for 6 s. A lower weight for a cold server now needs one.

--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -572,7 +572,8 @@
             less = not held.shut and max(held.told.values(), default=0.0) > 1.5 * held.laid()
             cool = [table for table in held.tables if table.number not in heated] if held in warm else ()
             if less or cool:
-                self.change(held, 2, keep_bind, None if less else cool)
+                # They may use the message kept for drains: half a zone back within a second used up the rest.
+                self.change(held, 1 + (held in warm), keep_bind, None if less else cool)
         self.due = [held for held in self.due if self.loose.proxies or not self.change(held, 2, keep)]
         self.seal()
 
