--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -14,7 +14,7 @@
 6. Throttling: where levels are obeyed, a jammed fleet gets no more calls than it answers.
 """
 
-from collections import defaultdict, deque
+from collections import Counter, defaultdict, deque
 from statistics import median
 from zlib import crc32
 
@@ -50,6 +50,7 @@
 OVERRUN_SURE, EASE_US = 2, TICK_US // 2  # standard errors beyond chance; the least buckets of that evidence
 EASE_MANY = 0.25  # the part of the servers that may be eased at once, one at least
 KIND_TRIES, KIND_TIME, KIND_SLO = 40, 1.6, 0.5  # the same for a machine type
+KIND_HEARD = 0.75  # and of more than so many of its servers: the first heard of are those that drop most
 EASE_POWER, EASE_MOST, EASE_LEAST = 0.33, 0.5, 0.3  # the root of that ratio is taken; a step at most; in all
 SETTLE_TICKS, EASE_TICKS, EASE_BACK = 2, 8, 0.125  # before it is judged again; before it climbs, and by what
 
@@ -353,17 +354,22 @@
     def ease(self):
         """Once a tick the machine type that is overrun most gets a step less, or else the servers that are.
 
-        It guards against listed weights that are wrong, and against anything that slows some servers.
+        It guards against listed weights that are wrong, and against anything that slows some servers. A type
+        is judged once most of its servers have been heard of: the first reports come from those most used.
         """
         cost, chance, kinds = {}, {}, {}
-        for held in self.servers.values():
+        able = [held for held in self.servers.values()
+                if self.warm(held) and not held.eject_until and held.back_us is None]
+        for held in able:
             tries, dropped, took = held.times.sums(self.now // self.ease_us)
-            if self.warm(held) and tries >= OVERRUN_TRIES and not held.eject_until and held.back_us is None:
+            if tries >= OVERRUN_TRIES:
                 cost[held] = (took + dropped * self.slo_us * 2) / tries
                 chance[held] = 1 + OVERRUN_SURE * tries ** -0.5
                 kinds.setdefault(held.entry.machine, []).append((cost[held], tries))
+        many = Counter(held.entry.machine for held in able)
         kinds = {kind: median(took for took, _ in rows) for kind, rows in kinds.items()
-                 if len(rows) > 1 and sum(tries for _, tries in rows) >= KIND_TRIES}
+                 if len(rows) > max(1, KIND_HEARD * many[kind])
+                 and sum(tries for _, tries in rows) >= KIND_TRIES}
         settle_us = max(SETTLE_TICKS * TICK_US, 2 * self.bucket_us)
         worst, best = max(kinds, key=kinds.get, default=None), min(kinds, key=kinds.get, default=None)
         if worst is not None and kinds[worst] > max(KIND_TIME * kinds[best], KIND_SLO * self.slo_us):
