What cold servers get is bounded by the warm weight of each table, too; proxies over MQTT

The fleet had 0.98 of its warm weight, but the table of 22 proxies had half of its lines ejected, and the proxies shun failing servers: what was left of the table took all. The lower of the fleet's and the table's part now holds.

--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -97,7 +97,7 @@
 
     def __init__(self, entry):
         self.entry, self.state = entry, GONE
-        self.tables, self.part = [], 0.0  # that hold it; its percentage
+        self.tables, self.part, self.warm = [], 0.0, True  # that hold it; its percentage; if it is not cold
         self.shut, self.told = False, {}  # as proxies were told: if withdrawn; its weight by table
         self.fresh()
 
@@ -117,6 +117,7 @@
     def __init__(self, number, zone=None):
         self.number, self.zone, self.used = number, zone, False
         self.proxies, self.said, self.lines = {}, {}, 0  # who is bound; levels as told; lines in this step
+        self.warm, self.most, self.cold_part = 0.0, 1e-9, 1.0  # warm weight; its most; what cold lines get
 
 
 class Proxy:
@@ -484,7 +485,8 @@
         return table.zone not in (None, held.entry.zone)
 
     def weight(self, held, table):
-        return held.laid() * (self.far[table.zone] if self.is_far(held, table) else 1)
+        part = self.far[table.zone] if self.is_far(held, table) else 1
+        return held.laid() * part * (1 if held.warm else table.cold_part)
 
     def deal(self):
         """Put each server on its tables, those with the least of its type; fill up a table that got thin."""
@@ -546,8 +548,17 @@
         self.warm_now = sum(held.entry.weight for held in warm if not held.eject_until)
         self.warm_most = max(self.warm_now, self.warm_most, 1e-9)
         self.cold_part = min(1.0, (self.warm_now or self.warm_most) / self.warm_most / FEW_WARM)
+        for table in self.tables:
+            table.warm = 0.0
         for held in self.servers.values():
-            held.part = self.percentage(held)
+            held.part, held.warm = self.percentage(held), held in warm
+            for table in held.tables if held.warm and held.part else ():
+                table.warm += held.entry.weight
+        for table in self.tables:
+            # Who is on a table that lost most of its warm lines would send all that to the cold ones.
+            table.most = max(table.most, table.warm)
+            mine = (table.warm or table.most) / table.most / FEW_WARM
+            table.cold_part = min(1.0, mine / self.cold_part)  # the fleet's is in their percentage already
         self.spill()
         self.deal()
         closing = [held for held in self.servers.values() if held.part <= 0 and not held.shut]
@@ -575,7 +586,8 @@
         self.bind(keep_bind)  # before the rest, as what a loose proxy holds may have drained meanwhile
         # Cold servers must not wait for the tick to get much less, nor, on a table alone, for warm ones.
         for held in self.servers.values():
-            less = not held.shut and max(held.told.values(), default=0.0) > 1.5 * held.laid()
+            less = not held.shut and any(
+                held.told.get(table.number, 0.0) > 1.5 * self.weight(held, table) for table in held.tables)
             cool = [table for table in held.tables if table.number not in heated] if held in warm else ()
             if less or cool:
                 # They may use what is kept for drains, all in one message: half a zone was back in a second.
--- a/rainpick/director/core.py
+++ b/rainpick/director/core.py
@@ -22,10 +22,13 @@
 from rainpick.director.membership import Filed, Membership, RefusedMemberError
 from rainpick.director.proxies import Proxies
 from rainpick.director.reports import FRESH, Evidence, Freshness
-from rainpick.director.status import status
+from rainpick.director.status import status, table_deed
 from rainpick.director.streams import Stream
+from rainpick.director.subscribers import Subscribers
 from rainpick.director.tables import Line
+from rainpick.mqtt.session import PacketReader
 from rainpick.otlp.metrics import Batch
+from rainpick.publish.pins import PinError, Pins
 from rainpick.sasp import codec
 from rainpick.sasp.codec import Deregistration, GetWeights, Group, Registration, SetLbState, SetMemberState
 from rainpick.sasp.session import Asked, Ended, Refused, reply
@@ -54,6 +57,7 @@
         self.unproven_us: int | None = None  # the first push that it has not shown to have read
         self.answered = False  # a reply was written since that push
         self.blocked_us: int | None = None
+        self.resumes = None  # the version of a table that it has shown to hold
 
     @property
     def pushes(self) -> bool:
@@ -88,6 +92,8 @@
         self.encoded: OrderedDict[int, tuple] = OrderedDict()
         cache = settings.director.list_cache
         self.cache = ListCache(cache, settings) if cache else None
+        self.subscribers = Subscribers(self)
+        self.pins: Pins | None = None
         self.watch_us = now
         self.stopping = False
         self.failure: BaseException | None = None
@@ -176,6 +182,7 @@
             self.engine.met(self.evidence.tell(now))
             for write in self.engine.advance(now):
                 self.push(write, now)
+        self.subscribers.flush()
         for number in [*self.stalled]:
             self.pump(number, now)
         for number in [*self.undelivered]:
@@ -191,6 +198,9 @@
             if begin_us is None or now < begin_us:
                 return
             self.engine = Engine(self.settings, self.seed, now, self.module)
+            tables = self.engine.tables
+            self.pins = Pins(self.is_listed, tables.withdrawn.__contains__, self.is_warm)
+            tables.overlay = self.pins.overlay
             start = self.membership.start()
             self.engine.list_changed(start)
             self.log.info("decisions begin", servers=len(start.servers), proxies=len(self.by_uid))
@@ -207,6 +217,14 @@
             self.engine.list_changed(update)
             self.keep_list(now)
 
+    def is_listed(self, server: tuple) -> bool:
+        entry = self.engine.listed.get(server)
+        return entry is not None and entry.state != api.GONE
+
+    def is_warm(self, server: tuple) -> bool:
+        started_us = self.engine.listed[server].started_us
+        return not started_us or self.clock() - started_us >= self.settings.rules.warm_after
+
     def keep_list(self, now: int) -> None:
         if self.cache is not None:
             self.cache.keep(self.membership.whole(), now, time.time_ns() // 1000)
@@ -220,13 +238,18 @@
             stream.close()
             return
         self.streams[stream.number] = stream
+        if isinstance(stream.end, PacketReader):
+            self.subscribers.opened(stream)
         self.unknown[stream.number] = self.clock() + self.settings.sasp.hello
         stream.start()
 
     def on_came(self, stream: Stream, found: Asked | Refused | Ended) -> None:
         if self.streams.get(stream.number) is not stream:
             return  # it was let go; what it still said comes too late
-        if isinstance(found, Asked):
+        if stream.number in self.subscribers.links:
+            self.unknown.pop(stream.number, None)
+            self.subscribers.came(stream, found)
+        elif isinstance(found, Asked):
             self.unknown.pop(stream.number, None)
             self.serve(stream, found)
         elif isinstance(found, Refused):
@@ -247,11 +270,12 @@
         self.stalled.discard(stream.number)
         stream.close()
         now = self.clock()
+        self.subscribers.links.pop(stream.number, None)
         served = self.served.pop(stream.number, None)
         if served is not None:
             self.part(served)
             self.log.info("proxy left", proxy=served.uid, why=why)
-        elif stream.end.is_member:
+        elif getattr(stream.end, "is_member", False):
             self.membership.stream_broke(stream.number, now)
             self.log.info("member stream ended", peer=stream.peer, why=why)
         else:
@@ -318,21 +342,23 @@
             return codec.NOT_ACCEPTED
         if message.uid == self.settings.fleet.uid:
             return codec.NOT_ACCEPTED
-        served = self.served.get(stream.number)
-        if served is None:
-            other = self.by_uid.get(message.uid)
-            if other is not None:  # the newer stream counts: the older may be dead, not noticed yet
-                self.counts["replaced"] += 1
-                self.end(other.stream, "another stream has the same LB UID")
-            number = self.proxies.number(message.uid)
-            served = Served(message.uid, self.settings.fleet.group, number, stream, message.flags)
-            self.served[stream.number] = self.by_uid[message.uid] = served
-            self.by_number[served.number] = served
+        served = self.served.get(stream.number) or self.serve_proxy(stream, message.uid, message.flags)
         served.flags = message.flags
         if self.engine is not None and served.joined:
             self.engine.blocked(served.number, not served.pushes or served.blocked_us is not None)
         return codec.SUCCESS
 
+    def serve_proxy(self, stream: Stream, uid: str, flags: int) -> Served:
+        """A stream is a proxy's, over either front."""
+        other = self.by_uid.get(uid)
+        if other is not None:  # the newer stream counts: the older may be dead, not noticed yet
+            self.counts["replaced"] += 1
+            self.subscribers.taken_over(other.stream)
+            self.end(other.stream, "another stream has the same LB UID")
+        served = Served(uid, self.settings.fleet.group, self.proxies.number(uid), stream, flags)
+        self.served[stream.number] = self.by_uid[uid] = self.by_number[served.number] = served
+        return served
+
     def lb_groups(self, served: Served, message: Registration | Deregistration) -> int:
         if any(group.group.name != self.settings.fleet.group for group in message.groups):
             return codec.INVALID_GROUP if isinstance(message, Registration) else codec.UNKNOWN_GROUP
@@ -361,7 +387,8 @@
         zone, rate = self.proxies.place(served.uid)
         rate = self.evidence.rates.get(served.uid, rate)
         self.engine.now = max(self.engine.now, now)
-        self.engine.joined(served.number, True, rate, zone, served.standing)
+        obeys = served.stream.number in self.subscribers.links
+        self.engine.joined(served.number, True, rate, zone, served.standing, obeys, served.resumes)
         self.engine.blocked(served.number, not served.pushes)
         self.log.info("proxy joined", proxy=served.uid, number=served.number, peer=served.stream.peer,
                       holds=len(served.standing))
@@ -413,8 +440,11 @@
         return data
 
     def push(self, write: Write, now: int) -> None:
-        """Send Weights to one proxy, without waiting."""
+        """Tell one proxy, without waiting."""
         served = self.by_number[write.proxy]
+        if served.stream.number in self.subscribers.links:
+            self.subscribers.push(served, write)
+            return
         shut, rest = write.way
         if not served.flags & codec.NO_CHANGE:
             held = self.engine.tables.proxies[write.proxy].holds
@@ -446,7 +476,7 @@
         stream.pump()
         if not stream.rest:
             self.stalled.discard(number)
-            self.block(served, False)
+            self.block(served, not self.subscribers.room(stream))
         elif now - served.blocked_us > self.settings.sasp.write_stall:
             self.let_go(served, "its socket takes nothing")
 
@@ -471,6 +501,7 @@
             served.unproven_us = None
 
     def watch(self, now: int) -> None:
+        self.subscribers.watch(now)
         for number, until_us in list(self.unknown.items()):
             if now >= until_us and number in self.streams:
                 self.end(self.streams[number], "it never said what it is")
@@ -494,12 +525,16 @@
         places = {served.uid: (served.number, self.proxies.place(served.uid)[0])
                   for served in (self.by_uid.get(point.reporter) for point in batch.points) if served}
         known = self.engine.listed if self.engine is not None else {}
-        verdicts = self.evidence.take(batch.points, wall_ns, places, known)
+        box.put(self.weigh(batch.points, wall_ns, places, known))
+
+    def weigh(self, points: list, wall_ns: int, places: dict, known: dict) -> dict[str, int]:
+        """Take the points of a report, whichever front brought it."""
+        verdicts = self.evidence.take(points, wall_ns, places, known)
         self.counts["reports"] += 1
         if set(verdicts) - {FRESH, "unknown"}:
-            who = sorted({point.reporter for point in batch.points})[:3]
+            who = sorted({point.reporter for point in points})[:3]
             self.log.info("report not fresh", reporters=who, **verdicts)
-        box.put(verdicts)
+        return verdicts
 
     def on_filed(self, lines: list[Filed]) -> None:
         self.membership.file(lines)
@@ -509,6 +544,15 @@
         self.membership.remember(lines, self.clock())
         self.log.info("starting from the cached list", servers=len(lines))
 
+    def on_table(self, deed: str, words: dict, box: queue.SimpleQueue) -> None:
+        """Something that people do to a table."""
+        try:
+            box.put((200, table_deed(self, deed, words)))
+        except PinError as flaw:
+            box.put((409, {"error": str(flaw)}))
+        except (KeyError, TypeError, ValueError) as flaw:
+            box.put((400, {"error": f"{type(flaw).__name__}: {flaw}"}))
+
     def on_status(self, box: queue.SimpleQueue) -> None:
         box.put(status(self))
 
--- a/rainpick/director/daemon.py
+++ b/rainpick/director/daemon.py
@@ -20,7 +20,9 @@
 from rainpick.director.status import handler
 from rainpick.director.streams import Listener, Stream
 from rainpick.http1 import Server
+from rainpick.mqtt.session import PacketReader
 from rainpick.otlp.receiver import receiver
+from rainpick.sasp.session import DirectorEnd
 from rainpick.settings import Settings, SettingsError
 
 STACK = 256 * 1024
@@ -55,17 +57,28 @@
                                  otlp.connections_most, otlp.idle / 1e6)
         numbers = count(1)
 
-        def opened(sock: socket.socket, peer: str) -> None:
-            stream = Stream(next(numbers), sock, peer, settings.sasp.frame_most,
-                            lambda stream, found: core.put("came", stream, found))
-            core.put("opened", stream)
+        def opener(end: Callable[[], DirectorEnd | PacketReader]) -> Callable[[socket.socket, str], None]:
+            def opened(sock: socket.socket, peer: str) -> None:
+                core.put("opened", Stream(next(numbers), sock, peer, end(),
+                                          lambda stream, found: core.put("came", stream, found)))
+            return opened
 
-        self.sasp_front = Listener(settings.listen.sasp, min(4096, settings.sasp.streams_most), opened)
+        backlog = min(4096, settings.sasp.streams_most)
+        self.sasp_front = Listener(settings.listen.sasp, backlog,
+                                   opener(lambda: DirectorEnd(settings.sasp.frame_most)))
+        self.mqtt_front = self.mqtt = None
+        if settings.listen.mqtt is not None:
+            self.mqtt_front = Listener(settings.listen.mqtt, backlog,
+                                       opener(lambda: PacketReader(settings.mqtt.packet_most)))
+            self.mqtt = self.mqtt_front.address
         self.sasp, self.otlp = self.sasp_front.address, self.otlp_front.address
         self.status = self.status_front.address
         core.thread.start()
         self.sasp_front.thread.start()
         places = {"sasp": self.sasp, "otlp": self.otlp, "status": self.status}
+        if self.mqtt_front is not None:
+            self.mqtt_front.thread.start()
+            places["mqtt"] = self.mqtt
         log.info("listening", **{front: f"{host}:{port}" for front, (host, port) in places.items()})
 
     def read_list_file(self, first: bool = False) -> None:
@@ -99,6 +112,8 @@
     def stop(self) -> None:
         """Close every front and end the core; what proxies hold stays with them."""
         self.sasp_front.close()
+        if self.mqtt_front is not None:
+            self.mqtt_front.close()
         self.otlp_front.close()
         self.status_front.close()
         if self.core.thread.is_alive():
--- a/rainpick/director/streams.py
+++ b/rainpick/director/streams.py
@@ -12,6 +12,7 @@
 from collections import deque
 from collections.abc import Callable
 
+from rainpick.mqtt.session import PacketReader
 from rainpick.sasp.session import DirectorEnd, Ended
 
 PIECE = 16_384
@@ -21,12 +22,14 @@
 
 
 class Stream:
-    """One stream. ``give`` hands what came to the core, in order; it ends with ``Ended``."""
+    """One stream. ``give`` hands what came to the core, in order; it ends with ``Ended``.
 
-    def __init__(self, number: int, sock: socket.socket, peer: str, frame_most: int,
+    ``end`` cuts what comes into pieces within the reading thread; all else about them is the core's.
+    """
+
+    def __init__(self, number: int, sock: socket.socket, peer: str, end: DirectorEnd | PacketReader,
                  give: Callable[[Stream, object], None]):
-        self.number, self.sock, self.peer, self.give = number, sock, peer, give
-        self.end = DirectorEnd(frame_most)
+        self.number, self.sock, self.peer, self.give, self.end = number, sock, peer, give, end
         self.rest = bytearray()  # what the socket has not taken yet
         self.handed = 0  # bytes written in all, the rest included
         self.marks: deque[tuple[int, int]] = deque()  # (bytes handed by then, number of the message)
@@ -112,7 +115,7 @@
     def __init__(self, place: tuple[str, int], backlog: int, give: Callable[[socket.socket, str], None]):
         self.socket = socket.create_server(place, backlog=backlog)
         self.address, self.give, self.closing = self.socket.getsockname()[:2], give, False
-        self.thread = threading.Thread(target=self.accept, name="sasp-accept", daemon=True)
+        self.thread = threading.Thread(target=self.accept, name="accept", daemon=True)
 
     def accept(self) -> None:
         while not self.closing:
--- a/rainpick/director/tables.py
+++ b/rainpick/director/tables.py
@@ -85,10 +85,11 @@
     Not ``known``: it says which servers, but not with which weights, so all lines of the other must be read.
     """
 
-    __slots__ = ("lines", "known", "ways", "all", "version", "hash")
+    __slots__ = ("lines", "known", "ways", "all", "table", "version", "hash")
 
-    def __init__(self, lines: Lines, known: bool = True, version: int = 0):
-        self.lines, self.known, self.ways, self.version = lines, known, {}, version
+    def __init__(self, lines: Lines, known: bool = True, table: int | None = None, version: int = 0):
+        self.lines, self.known, self.ways = lines, known, {}
+        self.table, self.version = table, version  # whose it is, and which
         self.all: tuple[Line, ...] | None = None
         self.hash: str | None = None
 
@@ -244,7 +245,7 @@
         lines = self.overlay(table, lines)
         history = self.history.setdefault(table, deque(maxlen=HISTORY))
         if not history or history[-1].lines != lines:
-            history.append(Snapshot(lines, version=history[-1].version + 1 if history else 1))
+            history.append(Snapshot(lines, True, table, history[-1].version + 1 if history else 1))
         self.snapshots[table] = history[-1]
         return history[-1]
 
--- a/rainpick/mqtt/session.py
+++ b/rainpick/mqtt/session.py
@@ -90,11 +90,27 @@
     clean: bool = False
 
 
+class PacketReader:
+    """Cuts a stream into packets; a flaw is the last thing it gives out."""
+
+    def __init__(self, packet_most: int):
+        self.framer = codec.Framer(packet_most)
+
+    def receive(self, data: bytes) -> list[Packet | MqttError]:
+        self.framer.feed(data)
+        found: list[Packet | MqttError] = []
+        try:
+            while (one := self.framer.next()) is not None:
+                found.append(one)
+        except MqttError as flaw:
+            found.append(flaw)
+        return found
+
+
 class ServerEnd:
     """One connection as the director sees it. ``out`` collects what is to be written."""
 
-    def __init__(self, packet_most: int):
-        self.framer, self.packet_most = codec.Framer(packet_most), packet_most
+    def __init__(self) -> None:
         self.connect: Connect | None = None
         self.accepted = False
         self.filters: dict[str, int] = {}
@@ -104,20 +120,14 @@
         self.numbered = 0
         self.out = bytearray()
 
-    def receive(self, data: bytes) -> list[Joined | Wants | Unwants | Said | Acked | Over]:
-        """What the bytes bring, in order. After ``Over`` nothing more comes."""
-        self.framer.feed(data)
-        found: list = []
+    def receive(self, one: Packet | MqttError) -> Joined | Wants | Unwants | Said | Acked | Over | None:
+        """What a packet brings; after ``Over`` nothing more may come."""
+        if isinstance(one, MqttError):
+            return self.end(one.code, str(one))
         try:
-            while (one := self.framer.next()) is not None:
-                step = self.take(one)
-                if step is not None:
-                    found.append(step)
-                    if isinstance(step, Over):
-                        break
+            return self.take(one)
         except MqttError as flaw:
-            found.append(self.end(flaw.code, str(flaw)))
-        return found
+            return self.end(flaw.code, str(flaw))
 
     def end(self, code: int, why: str) -> Over:
         if self.connect is None:
--- a/rainpick/publish/follow.py
+++ b/rainpick/publish/follow.py
@@ -27,7 +27,7 @@
 
     def part(self, table: int, before: Snapshot | None, after: Snapshot) -> tuple[Whole | Change, bytes]:
         """The way from one version of a table to another, and its bytes."""
-        known = before is not None and before.known and before.version > 0
+        known = before is not None and before.known and before.table == table
         mark = (table, id(before) if known else None, id(after))
         found = self.parts.get(mark)
         if found is not None and found[2] is after and found[3] is before or found and not known:
--- a/rainpick/settings/model.py
+++ b/rainpick/settings/model.py
@@ -7,7 +7,7 @@
 from pydantic import BaseModel, ConfigDict, Field, model_validator
 
 from rainpick.settings.fleet import Match
-from rainpick.settings.units import Address, Duration, Endpoint
+from rainpick.settings.units import Address, Duration
 
 Effect = Literal["repeatable", "keyed", "mutating"]
 
@@ -32,6 +32,7 @@
     sasp: Address = Field("127.0.0.1:3860", description="members and proxies (RFC 4678)")
     otlp: Address = Field("127.0.0.1:4318", description="load reports (OTLP over HTTP)")
     status: Address = Field("127.0.0.1:8780", description="the director's state as JSON")
+    mqtt: Address | None = Field(None, description="publish-subscribe for proxies (MQTT 5); off if absent")
 
 
 class FleetRule(Part):
@@ -87,6 +88,8 @@
     known: tuple[KnownProxy, ...] = ()
     zone: str | None = Field(None, description="zone of a proxy that no rule knows")
     rate: float = Field(1.0, gt=0, description="calls a second of a proxy that no rule knows")
+    admit: Literal["silent", "ratio", "rate"] = Field(
+        "silent", description="levels that proxies obey: a part, calls a second, none. SASP carries none")
     ejects_after: int = Field(0, ge=0, description="drops in a row after which proxies shun a server")
 
 
@@ -123,6 +126,14 @@
     write_stall: Duration = Field("2s", description="a proxy whose socket takes nothing is let go")
 
 
+class MqttPart(Part):
+    packet_most: int = Field(1_048_576, ge=1_024, le=268_435_455, description="bytes of the largest packet")
+    receive_most: int = Field(64, ge=1, le=65_535, description="messages a client may send unacknowledged")
+    ack_within: Duration = Field("5s", description="a proxy that acknowledges nothing for so long is let go")
+    says_per_s: float = Field(20.0, gt=0, description="messages a second that a client may publish")
+    observers_most: int = Field(16, ge=0, description="clients that follow tables and are no proxies")
+
+
 class OtlpPart(Part):
     body_most: int = Field(1_048_576, ge=1_024, description="bytes of a report, unpacked")
     connections_most: int = Field(1_024, ge=1)
@@ -154,6 +165,7 @@
     channel: ChannelPart = ChannelPart()
     rules: RulesPart = RulesPart()
     sasp: SaspPart = SaspPart()
+    mqtt: MqttPart = MqttPart()
     otlp: OtlpPart = OtlpPart()
     prices: PricesPart = PricesPart()
     log: LogPart = LogPart()
@@ -180,13 +192,11 @@
             raise ValueError("routes: two of them have the same name")
         if self.director.number >= self.director.of:
             raise ValueError(f"director.number: {self.director.number} must be under director.of")
-        ports = [place for place in (self.listen.sasp, self.listen.otlp, self.listen.status) if place.port]
+        fronts = self.listen.sasp, self.listen.otlp, self.listen.status, self.listen.mqtt
+        ports = [place for place in fronts if place is not None and place.port]
         if len(set(ports)) < len(ports):
             raise ValueError("listen: two fronts have the same address")
         return self
 
     def zone_of(self, name: str | None) -> int:
         return self.zones.index(name) if name is not None else 0
-
-    def endpoints(self) -> dict[str, Endpoint]:
-        return {"sasp": self.listen.sasp, "otlp": self.listen.otlp, "status": self.listen.status}
--- a/rainpick/settings/plain.py
+++ b/rainpick/settings/plain.py
@@ -16,7 +16,7 @@
         "machines": settings.machines,
         "discovery": "pushed",
         "penalties.cross_zone": settings.prices.cross_zone,
-        "proxies.admit": "silent",  # SASP has no word for levels: docs/design-director.md
+        "proxies.admit": {"rate": "rps"}.get(proxies.admit, proxies.admit),
         "proxies.slices": 0,
         "proxies.proxy_count": proxies.count,
         "proxies.by_zone": proxies.by_zone,
--- a/rainpick/standins/day.py
+++ b/rainpick/standins/day.py
@@ -53,7 +53,7 @@
         "director": {"number": number, "of": scenario.directors, "seed": scenario.seed + number + 1,
                      "list_cache": str(folder / f"list-{number}.json"), "settle": "500ms"},
         "listen": {"sasp": f"127.0.0.1:{ports[0]}", "otlp": f"127.0.0.1:{ports[1]}",
-                   "status": f"127.0.0.1:{ports[2]}"},
+                   "status": f"127.0.0.1:{ports[2]}", "mqtt": f"127.0.0.1:{ports[3]}"},
         "zones": list(scenario.zones), "machines": [machine.name for machine in scenario.machines],
         "routes": routes,
         "proxies": {"count": scenario.proxies, "standing_lines": scenario.standing,
@@ -185,7 +185,7 @@
         """Start all, and wait until every proxy is on a table."""
         scenario, rules_of = self.scenario, Settings.model_validate
         for number in range(scenario.directors):
-            plain = director_settings(scenario, number, free_ports(3), self.folder)
+            plain = director_settings(scenario, number, free_ports(4), self.folder)
             self.settings.append(rules_of(plain))
             self.directors.append(self.launch(plain, self.folder))
         self.wait_for("an answer", lambda _, found: bool(found))
@@ -218,6 +218,7 @@
                         "limit": route.time_limit, "effect": route.effect, "window": route.repeat_window}
                        for route in scenario.routes],
             "rules": rules.model_dump(), "directors": [settings.listen.sasp for settings in self.settings],
+            "mqtt": [settings.listen.mqtt for settings in self.settings], "fronts": scenario.fronts,
             "otlp": [settings.listen.otlp for settings in self.settings], "proxies": scenario.proxies,
             "calls_per_s": scenario.calls_per_s, "pick": scenario.pick, "standing": scenario.standing,
             "repeat": scenario.repeat, "client_repeats": scenario.client_repeats,
--- a/rainpick/standins/edges.py
+++ b/rainpick/standins/edges.py
@@ -10,9 +10,12 @@
 
 from rainpick.http1 import Client, ClientError
 from rainpick.otlp import metrics
+from rainpick.publish.follow import Follower
+from rainpick.publish.payloads import key
 from rainpick.sasp import codec
 from rainpick.sasp.codec import Group, Member
 from rainpick.standins.log import Log, now_us
+from rainpick.standins.mqtt_client import MqttProxy
 from rainpick.standins.sasp_client import SaspClient
 
 BEAT_S = 1.0  # how often a proxy says that it lives
@@ -36,6 +39,7 @@
         self.ended, self.reads, self.stream = threading.Event(), threading.Event(), None
         self.reads.set()
         self.report_how, self.period_ns = "usual", time.time_ns()
+        self.follower: Follower | None = None
         log("standing", p=self.uid, m=[["%s:%d" % server, 1] for server in standing])
         for job in (self.follow, self.report):
             threading.Thread(target=job, daemon=True).start()
@@ -43,30 +47,58 @@
     # Weights
 
     def follow(self) -> None:
-        """Hold a stream to one of the directors; what it says last counts."""
+        """Hold a stream to one of the directors, over its front; what it says last counts."""
         turn = self.number % max(1, len(self.day["directors"]))
+        fronts = self.day["fronts"]
+        hold = self.over_mqtt if fronts[self.number % len(fronts)] == "mqtt" else self.over_sasp
         while not self.ended.is_set():
             try:
-                place = tuple(self.day["directors"][turn % len(self.day["directors"])])
-                self.stream = stream = SaspClient(place)
-                self.check(stream.ask(codec.SetLbState(self.uid)))
-                with self.lock:
-                    held = tuple(Member.at(*server) for server in self.weights)
-                self.check(stream.ask(codec.Registration((codec.Members(self.group, held),), True)))
-                self.log("joined", p=self.uid, d=turn % len(self.day["directors"]))
-                beat = time.monotonic() + BEAT_S
-                while True:
-                    for message in stream.weights(0.2):
-                        self.apply(message)
-                    self.reads.wait()
-                    if time.monotonic() >= beat:
-                        beat += BEAT_S
-                        stream.send(codec.SetLbState(self.uid))
+                hold(turn % len(self.day["directors"]))
             except OSError as flaw:
                 self.log("left", p=self.uid, why=str(flaw))
                 turn += 1
                 self.ended.wait(self.chance.uniform(*self.day["redial_s"]))
 
+    def over_sasp(self, director: int) -> None:
+        self.stream = stream = SaspClient(tuple(self.day["directors"][director]))
+        self.check(stream.ask(codec.SetLbState(self.uid)))
+        with self.lock:
+            held = tuple(Member.at(*server) for server in self.weights)
+        self.check(stream.ask(codec.Registration((codec.Members(self.group, held),), True)))
+        self.log("joined", p=self.uid, d=director)
+        beat = time.monotonic() + BEAT_S
+        while True:
+            for message in stream.weights(0.2):
+                self.apply(message)
+            self.reads.wait()
+            if time.monotonic() >= beat:
+                beat += BEAT_S
+                stream.send(codec.SetLbState(self.uid))
+
+    def over_mqtt(self, director: int) -> None:
+        self.stream = stream = MqttProxy(tuple(self.day["mqtt"][director]), self.uid)
+        with self.lock:
+            held = {"%s:%d" % server: weight for server, weight in self.weights.items()}
+        self.follower = stream.join(self.follower, held)
+        self.log("joined", p=self.uid, d=director)
+        while True:
+            if stream.read(0.2):
+                self.hold(self.follower.open_lines())
+            self.reads.wait()
+
+    def hold(self, lines: dict[str, int]) -> None:
+        """What it holds now, from a table that was checked."""
+        fresh = {key(server): weight for server, weight in lines.items()}
+        with self.lock:
+            news = [["%s:%d" % server, weight, 0] for server, weight in fresh.items()
+                    if self.weights.get(server) != weight]
+            news += [["%s:%d" % server, 0, 0] for server in self.weights if server not in fresh]
+            for server in [server for server in self.weights if server not in fresh]:
+                for client in self.idle.pop(server, ()):
+                    client.close()
+            self.weights = fresh
+        self.log("weights", p=self.uid, m=news)
+
     @staticmethod
     def check(reply: codec.Message) -> None:
         if reply.code != codec.SUCCESS:
--- a/rainpick/standins/scenario.py
+++ b/rainpick/standins/scenario.py
@@ -71,6 +71,8 @@
     machines: tuple[Machine, ...] = (Machine(name="any"),)
     routes: tuple[Route, ...] = (Route(name="lookup"),)
     proxies: int = Field(6, ge=1, le=512)
+    fronts: tuple[Literal["sasp", "mqtt"], ...] = Field(
+        ("sasp",), min_length=1, max_length=8, description="by which front proxies are told, in turn")
     edge_processes: int = Field(1, ge=1, le=8)
     calls_per_s: float = Field(40.0, gt=0, le=2_000)
     pick: Literal["lottery", "wheel", "pair"] = "wheel"
