--- a/rainpick/cli/main.py
+++ b/rainpick/cli/main.py
@@ -124,6 +124,114 @@
     show.weights(place_of(at), uid, group, follow, as_json)
 
 
+AT = click.option("--at", default="127.0.0.1:8780", show_default=True, help="The director's status front.")
+WHO = click.option("--who", required=True, help="Who does it; it is logged.")
+WHY = click.option("--why", required=True, help="Why; it is logged.")
+JSON = click.option("--json", "as_json", is_flag=True, help="As JSON.")
+
+
+@main.group()
+def tables() -> None:
+    """The tables that proxies follow: versions, differences, pins."""
+
+
+def tables_of(at: str, path: str, words: dict | None = None) -> dict:
+    """Ask a director; a refusal ends the command with its reason."""
+    from rainpick.http1 import Client
+
+    client, method = Client(*place_of(at)), "GET" if words is None else "POST"
+    code, _, body = client.call(method, path, b"" if words is None else json.dumps(words).encode())
+    found = json.loads(body)
+    if code != 200:
+        click.echo(f"rainpick: {found.get('error', code)}", err=True)
+        sys.exit(1)
+    return found
+
+
+@tables.command("list")
+@AT
+@JSON
+@plain_errors
+def tables_list(at: str, as_json: bool) -> None:
+    """Each table's newest version, its proxies, what is kept, who pinned it."""
+    from rainpick.cli import show
+
+    rows = tables_of(at, "/status").get("tables", [])
+    click.echo(json.dumps(rows)) if as_json else show.tables(rows)
+
+
+@tables.command("show")
+@click.argument("table", type=int)
+@click.option("--version", type=int, help="The newest if not given.")
+@AT
+@JSON
+@plain_errors
+def tables_show(table: int, version: int | None, at: str, as_json: bool) -> None:
+    """The lines of a version."""
+    found = tables_of(at, "/tables/show", {"table": table, "version": version})
+    if as_json:
+        click.echo(json.dumps(found))
+        return
+    click.echo(f"table {table}, version {found['version']}, digest {found['digest']}")
+    for server, weight in found["lines"].items():
+        click.echo(f"{server:<24} {weight:>6}{'' if weight else '  shut out'}")
+
+
+@tables.command("diff")
+@click.argument("table", type=int)
+@click.argument("first", type=int)
+@click.argument("second", type=int)
+@AT
+@plain_errors
+def tables_diff(table: int, first: int, second: int, at: str) -> None:
+    """What differs between two versions."""
+    old, new = (tables_of(at, "/tables/show", {"table": table, "version": one})["lines"]
+                for one in (first, second))
+    for server in sorted(old.keys() | new.keys()):
+        if old.get(server) != new.get(server):
+            click.echo(f"{server:<24} {old.get(server, '-')!s:>6} -> {new.get(server, '-')!s}")
+
+
+def table_change(deed: str, at: str, words: dict) -> None:
+    row = tables_of(at, f"/tables/{deed}", words)
+    state = f"pinned to the content of {row['pinned']['version']}" if row["pinned"] else "not pinned"
+    click.echo(f"table {row['table']}: version {row['version']}, {row['open']} open lines, {state}")
+
+
+@tables.command()
+@click.argument("table", type=int)
+@click.option("--to", "version", type=int, help="The version before the newest if not given.")
+@WHO
+@WHY
+@AT
+@plain_errors
+def rollback(table: int, version: int | None, who: str, why: str, at: str) -> None:
+    """Publish an earlier version's content as a new version, less what drained or went, until `release`."""
+    table_change("rollback", at, {"table": table, "version": version, "who": who, "why": why})
+
+
+@tables.command()
+@click.argument("table", type=int)
+@WHO
+@WHY
+@AT
+@plain_errors
+def pin(table: int, who: str, why: str, at: str) -> None:
+    """Keep the newest version's content as it is, until `release`; withdrawals still go out."""
+    table_change("pin", at, {"table": table, "who": who, "why": why})
+
+
+@tables.command()
+@click.argument("table", type=int)
+@WHO
+@WHY
+@AT
+@plain_errors
+def release(table: int, who: str, why: str, at: str) -> None:
+    """Publish the ordinary table again."""
+    table_change("release", at, {"table": table, "who": who, "why": why})
+
+
 @main.command()
 @click.argument("file", type=CONFIG)
 @click.option("--dir", "folder", type=click.Path(file_okay=False), help="Where logs go; else a new folder.")
--- a/rainpick/cli/show.py
+++ b/rainpick/cli/show.py
@@ -46,6 +46,17 @@
     console.print(table)
 
 
+def tables(rows: list[dict[str, Any]]) -> None:
+    table = Table("table", "version", "digest", "lines", "open", "proxies", "kept", "pinned")
+    for row in rows:
+        kept = f"{row['kept'][0]} to {row['kept'][-1]}" if row["kept"] else "-"
+        pin = row["pinned"]
+        held = f"content of {pin['version']}, {pin['who']}: {pin['why']}" if pin else ""
+        names = "table", "version", "digest", "lines", "open", "proxies"
+        table.add_row(*(str(row[name]) for name in names), kept, held)
+    console.print(table)
+
+
 def flags(value: int) -> str:
     names = {codec.CONTACT: "contact", codec.QUIESCE: "quiesce", codec.CONFIDENT: "confident",
              codec.SELF_REGISTERED: "self-registered"}
--- a/rainpick/standins/mqtt_client.py
+++ b/rainpick/standins/mqtt_client.py
@@ -17,14 +17,14 @@
 class MqttProxy:
     """One connection. ``acknowledges`` False: it reads and says nothing."""
 
-    def __init__(self, place: tuple[str, int], uid: str, timeout_s: float = 3.0):
+    def __init__(self, place: tuple[str, int], uid: str, timeout_s: float = 3.0, receive_most: int = 100):
         self.uid, self.end, self.timeout_s = uid, ClientEnd(), timeout_s
         self.acknowledges, self.told = True, []
         self.codes: dict[int, int] = {}
         self.follower = Follower()
         self.sock = socket.create_connection(place, timeout_s)
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.write(codec.Connect(uid))
+        self.write(codec.Connect(uid, props={"receive_maximum": receive_most}))
         ack = self.wait_for(codec.Connack)
         if ack.code != codec.SUCCESS:
             raise ConnectionAbortedError(f"CONNACK {ack.code:#04x}")
--- a/tests/loopback/help.py
+++ b/tests/loopback/help.py
@@ -13,7 +13,7 @@
 
 TEXT = """{
   director: {settle: "100ms"%(director)s},
-  listen: {sasp: "127.0.0.1:0", otlp: "127.0.0.1:0", status: "127.0.0.1:0"},
+  listen: {sasp: "127.0.0.1:0", otlp: "127.0.0.1:0", status: "127.0.0.1:0"%(mqtt)s},
   zones: ["a", "b"],
   routes: [{name: "lookup", slo_time: "500ms", time_limit: "2s"}],
   proxies: {count: 1}, // one table for all
@@ -25,8 +25,9 @@
 
 
 @contextlib.contextmanager
-def running(more="", director="", **words):
-    daemon = Daemon(parse(TEXT % {"more": more, "director": director}), **words)
+def running(more="", director="", mqtt=False, **words):
+    front = ', mqtt: "127.0.0.1:0"' if mqtt else ""
+    daemon = Daemon(parse(TEXT % {"more": more, "director": director, "mqtt": front}), **words)
     daemon.start()
     try:
         yield daemon
