--- a/rainpick/mqtt/session.py
+++ b/rainpick/mqtt/session.py
@@ -94,11 +94,15 @@
     """Cuts a stream into packets; a flaw is the last thing it gives out."""
 
     def __init__(self, packet_most: int):
-        self.framer = codec.Framer(packet_most)
+        self.framer, self.begun = codec.Framer(packet_most), False
 
     def receive(self, data: bytes) -> list[Packet | MqttError]:
         self.framer.feed(data)
         found: list[Packet | MqttError] = []
+        if not self.begun and data:
+            self.begun = True
+            if data[0] != codec.CONNECT << 4:  # whoever speaks another protocol need not be waited for
+                return [MqttError("it does not begin with CONNECT", codec.PROTOCOL_ERROR)]
         try:
             while (one := self.framer.next()) is not None:
                 found.append(one)
