--- a/rainpick/cli/main.py
+++ b/rainpick/cli/main.py
@@ -78,6 +78,14 @@
     click.echo(json.dumps(schema(), indent=2))
 
 
+@config.command("payloads")
+def config_payloads() -> None:
+    """Print the JSON Schema of the publish-subscribe front's payloads."""
+    from rainpick.publish.payloads import schema as payload_schema
+
+    click.echo(json.dumps(payload_schema(), indent=2))
+
+
 def place_of(text: str) -> tuple[str, int]:
     host, colon, port = text.rpartition(":")
     if not colon or not port.isdigit():
--- a/tests/loopback/test_days.py
+++ b/tests/loopback/test_days.py
@@ -161,6 +161,12 @@
     assert verdict.kept and verdict.share() > scenario.goal, verdict.share()
 
 
+def test_a_deploy_over_both_fronts_keeps_all_five_rules(tmp_path):
+    verdict, broken, events = play(tmp_path, rest=DEPLOY + ', fronts: ["mqtt", "sasp"]')
+    assert not broken and verdict.share() > 0.95
+    assert {event["p"] for event in events if event["k"] == "weights"} == {f"edge-{one}" for one in range(4)}
+
+
 def test_streams_broken_and_reports_late_or_double_change_no_rule(tmp_path):
     rest = ('events: [{at: "1s", do: "break_streams"}, {at: "1s", do: "double_reports", for: "3s"}, '
             '{at: "2s", do: "break_member_streams", servers: "all"}, '
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -44,7 +44,8 @@
     assert found.exit_code == 2 and "servers.0.zone: 'nowhere' is not one of ['local']" in found.output
 
 
-def test_the_schema_is_json():
+def test_the_schemas_are_json():
+    assert "Whole" in json.loads(run("config", "payloads").output)["$defs"]
     assert json.loads(run("config", "schema").output)["title"] == "Settings"
 
 
