What drained and then went binds, on sites whose list may be wrong, too

Servers that drained and were gone before a message was left counted as called gone by a list that may be wrong, and wanted two messages. Only those that reports alone confirm do now.

--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -99,6 +99,7 @@
         self.entry, self.state = entry, GONE
         self.tables, self.part, self.warm = [], 0.0, True  # that hold it; its percentage; if it is not cold
         self.shut, self.told = False, {}  # as proxies were told: if withdrawn; its weight by table
+        self.doubted = False  # gone by a list that may be wrong, never seen to drain
         self.fresh()
 
     def fresh(self):
@@ -193,7 +194,7 @@
                 held.fresh()
             elif entry.state == READY and held.state == DRAINING:
                 held.back_us = self.now
-            held.entry, held.state = entry, entry.state
+            held.entry, held.state, held.doubted = entry, entry.state, False
         present = {entry.address for entry in event.servers}
         for address in self.servers.keys() - present if event.kind != api.DELTA else ():
             self.drop(self.servers[address])
@@ -350,7 +351,7 @@
         lost = dropped > tries * worse
         for held, (tries, dropped) in missing.items():
             if lost and dropped == tries or tries >= TRIAL_TRIES and dropped > tries * worse:
-                held.state = GONE
+                held.state, held.doubted = GONE, True
 
     def ease(self):
         """Once a tick the machine type that is overrun most gets a step less, or else the servers that are.
@@ -564,12 +565,11 @@
         closing = [held for held in self.servers.values() if held.part <= 0 and not held.shut]
         # Ejections, and what only a list that may be wrong calls gone, leave room and a message to drains:
         # a queue that they had filled let drains in one by one, each with the heads of its messages.
-        binds = {DRAINING} if self.get("rules.gone_does_not_bind", False) else {DRAINING, GONE}
-        for held in sorted(closing, key=lambda held: (held.state not in binds, held.state == READY)):
+        for held in sorted(closing, key=lambda held: (held.state == READY, held.doubted)):
             gone, orders = held.state == GONE, [api.Withdraw(held.entry.address, True)]
             orders += [api.SetLine(number, held.entry.address, 0.0) for number in held.told if gone]
             tables = [table for table in held.tables if table.number in held.told] + [self.loose]
-            least, spared = (1, 0) if held.state in binds else (2, keep_bind)
+            least, spared = (2, keep_bind) if held.state == READY or held.doubted else (1, 0)
             if self.put(orders, tables, 1 + gone, least, spared):
                 held.shut, held.told = True, {} if gone else held.told
         served, heated = ({number for held in group if not held.shut for number in held.told}
