--- a/benchmarks/publish.py
+++ b/benchmarks/publish.py
@@ -129,21 +129,26 @@
     return ask
 
 
-def over_mqtt(many: int) -> dict:
+def over_mqtt(many: int, silent: int = 0) -> dict:
+    """A deploy before so many proxies, some of which read nothing of it."""
     director, places, fleet = begin()
     try:
         proxies = MqttProxies(places["mqtt"], many)
         proxies.until(newest(places))
+        mute = frozenset(list(proxies.framers)[:silent])
         before, cpu = status(places["status"])["subscribers"], usage(director.pid)[0]
         proxies.messages = 0
 
         def turn(seconds):
             end = time.monotonic() + seconds
             while time.monotonic() < end:
-                proxies.turn(0.02)
+                proxies.turn(0.02, mute)
 
         deploy(fleet, turn)
         turn(7.0)
+        for sock in mute:
+            proxies.selector.unregister(sock)
+            del proxies.framers[sock], proxies.digests[sock]
         proxies.until(newest(places))
         after = status(places["status"])["subscribers"]
         whole = len(payloads.encode(payloads.Whole("0-0000000000000", 0, 99, "0" * 16, tuple(
@@ -151,7 +156,9 @@
         found = {"messages": proxies.messages, "bytes": after["bytes"] - before["bytes"],
                  "as_wholes": proxies.messages * whole, "cpu_s": usage(director.pid)[0] - cpu,
                  "memory_mb": usage(director.pid)[1], "wholes": after["wholes"] - before["wholes"]}
-        found["drains"], found["floor"] = drains(places, fleet, proxies, many) if many == 300 else ([], [])
+        found["let_go"] = status(places["status"])["streams"]["let_go"]
+        found["drains"], found["floor"] = (
+            drains(places, fleet, proxies, many) if many == 300 and not silent else ([], []))
         proxies.close()
         return found
     finally:
@@ -235,6 +242,9 @@
               f"({found['wholes']} wholes), wholes alone would be {found['as_wholes'] / 1e6:.2f} MB: "
               f"{found['bytes'] / found['as_wholes']:.3f}; CPU {found['cpu_s']:.2f} s, "
               f"{found['cpu_s'] / many * 1e3:.2f} ms a proxy; {found['memory_mb']:.0f} MB resident")
+    silent = over_mqtt(300, 30)
+    print(f"300 proxies, 30 read nothing: {silent['memory_mb']:.0f} MB resident, {silent['let_go']} let go; "
+          f"with all reading {rows[300]['memory_mb']:.0f} MB")
     sasp = over_sasp(300)
     print(f"the same day over SASP, 300 proxies: {sasp['messages']} messages, CPU {sasp['cpu_s']:.2f} s, "
           f"MQTT {rows[300]['cpu_s'] / sasp['cpu_s']:.2f} times; {sasp['memory_mb']:.0f} MB resident")
--- a/tests/loopback/test_mqtt.py
+++ b/tests/loopback/test_mqtt.py
@@ -169,6 +169,43 @@
     assert [proxy["uid"] for proxy in status(daemon)["proxies"]] == ["edge-1"]
 
 
+@pytest.mark.parametrize("daemon", [('mqtt: {ack_within: "300ms"}', {})], indirect=True)
+def test_a_subscriber_that_stops_reading_in_a_deploy_of_a_third_comes_back_to_the_exact_table(daemon):
+    fleet = MemberEnd(daemon, *range(9001, 9031))
+    proxies = [Proxy(daemon, f"edge-{number}").until(lambda held: len(held) == 30) for number in range(2)]
+    for port in range(9001, 9011):  # edge-1 reads nothing of it
+        fleet.quiesce(port)
+        fleet.deregister(port)
+        proxies[0].until(lambda held, port=port: port not in held)
+    MemberEnd(daemon, *range(9001, 9011), label="boot=2;age=900")
+    until(lambda: status(daemon)["streams"]["let_go"] == 1)
+    held = proxies[1].follower
+    with pytest.raises(OSError):
+        while True:
+            proxies[1].read(0.5)
+    again = Proxy(daemon, "edge-1", before=held).until(lambda held: len(held) == 30)
+    proxies[0].until(lambda held: len(held) == 30)
+    exact(daemon, proxies[0], again)
+
+
+def test_a_rollback_to_a_version_whose_servers_half_drained_while_others_are_lost(daemon):
+    fleet, lost = MemberEnd(daemon, *range(9001, 9007)), MemberEnd(daemon, *range(9011, 9014))
+    proxy = Proxy(daemon, "edge-1").until(lambda held: len(held) == 9)
+    first = status(daemon)["tables"][0]["version"]
+    for port in (9001, 9002, 9003):
+        fleet.quiesce(port)
+    MemberEnd(daemon, 9021, label="age=900")
+    proxy.until(lambda held: 9021 in held and 9003 not in held)
+    assert tables(daemon, "rollback", "0", "--to", str(first), "--who", "staff", "--why", "x")[0] == 0
+    lost.deregister(9011, 9012, 9013)  # their zone goes while the table is pinned
+    proxy.until(lambda held: set(held) == {9004, 9005, 9006})
+    for port in (9004, 9005, 9006):
+        fleet.quiesce(port)
+    proxy.until(lambda held: set(held) == {9021})  # nothing open is left of the pin: the ordinary table
+    assert json.loads(tables(daemon, "list", "--json")[1])[0]["pinned"]["idle"]
+    exact(daemon, proxy)
+
+
 def test_receive_maximum_is_kept_and_what_waits_is_one_message(daemon):
     fleet = MemberEnd(daemon, *range(9001, 9011))
     proxy = Proxy(daemon, "edge-1", receive_most=1)
