--- a/rainpick/cli/main.py
+++ b/rainpick/cli/main.py
@@ -267,6 +267,69 @@
     sys.exit(0 if good else 1)
 
 
+@main.group()
+def record() -> None:
+    """Recorded days of directors."""
+
+
+@record.command("ls")
+@click.argument("folder", type=click.Path(file_okay=False, exists=True))
+@plain_errors
+def record_ls(folder: str) -> None:
+    """The lives in a record: director, epoch, steps, seconds."""
+    from rainpick.cli import show
+
+    show.record_lives(Path(folder))
+
+
+@record.command("verify")
+@click.argument("folder", type=click.Path(file_okay=False, exists=True))
+@plain_errors
+def record_verify(folder: str) -> None:
+    """Check every block: 0 if all is whole, 1 with each damage, gap and torn end in a line."""
+    from rainpick.store import Record, read
+
+    good = many = 0
+    for one in read(Path(folder)):
+        if isinstance(one, Record):
+            good += 1
+        else:
+            many += 1
+            words = " ".join(f"{name}={value}" for name, value in one._asdict().items())
+            click.echo(f"{type(one).__name__.lower()}: {words}")
+    click.echo(f"{good} records are whole, {many} places are not")
+    sys.exit(1 if many else 0)
+
+
+@main.command()
+@click.argument("folder", type=click.Path(file_okay=False, exists=True))
+@click.option("--set", "changes", multiple=True, metavar="NAME=VALUE",
+              help="Another setting for the decisions, by the module's name; may be given again.")
+@click.option("--json", "as_json", is_flag=True, help="As JSON.")
+@plain_errors
+def replay(folder: str, changes: tuple[str, ...], as_json: bool) -> None:
+    """Feed a recorded day to the decisions again: 0 if every order is the same, 1 if not."""
+    from rainpick.cli import show
+    from rainpick.record.replay import lives, play
+    from rainpick.store import read
+
+    words = {}
+    for change in changes:
+        name, equals, value = change.partition("=")
+        try:
+            words[name] = json.loads(value) if equals else None
+        except ValueError:
+            words[name] = value
+        if not equals or not name:
+            raise click.BadParameter(f"{change!r} is not NAME=VALUE")
+    found = [play(life, steps, changes=words) for life, steps in lives(read(Path(folder)))]
+    if not found:
+        click.echo(f"rainpick: {folder} holds no life of a director", err=True)
+        sys.exit(2)
+    show.replays(found, as_json)
+    sys.exit(1 if any(one.differing or one.hole for one in found) else 0)
+
+
 @main.command()
 @click.argument("folder", type=click.Path(file_okay=False, exists=True))
 @click.option("--json", "as_json", is_flag=True, help="The verdict as JSON.")
--- a/rainpick/cli/show.py
+++ b/rainpick/cli/show.py
@@ -5,6 +5,7 @@
 import json
 from collections import defaultdict
 from collections.abc import Callable
+from datetime import UTC, datetime
 from pathlib import Path
 from typing import Any
 
@@ -197,3 +198,66 @@
             bars += BARS[min(8, -(-8 * last // top))] if top else " "
         table.add_row(server, str(last), bars)
     console.print(table)
+
+
+def record_lives(folder: Path) -> None:
+    """A line for each life of a director."""
+    from rainpick.record.replay import Hole, lives
+    from rainpick.store import read
+
+    table = Table("director", "epoch", "module", "begun (UTC)", "seconds", "steps", "holes")
+    for life, steps in lives(read(folder)):
+        many = holes = 0
+        last = life.now
+        for one in steps:
+            if isinstance(one, Hole):
+                holes += 1
+            else:
+                many, last = many + 1, one.now
+        begun = datetime.fromtimestamp(life.wall_us / 1e6, UTC).isoformat(timespec="seconds")
+        seconds = f"{(last - life.now) / 1e6:.1f}"
+        table.add_row(str(life.director), life.epoch, life.module[:12], begun, seconds, str(many), str(holes))
+    console.print(table)
+
+
+def replays(found: list, as_json: bool) -> None:
+    """What would have been decided differently."""
+    rows = []
+    for one in found:
+        moved = [(server, old, new) for server, (old, new) in one.weights.items() if abs(old - new) > 1e-9]
+        moved.sort(key=lambda row: -abs(row[1] - row[2]))
+        rows.append({
+            "director": one.life.director, "epoch": one.life.epoch, "steps": one.steps, "orders": one.orders,
+            "differing": one.differing, "hole": one.hole and one.hole.why,
+            "first": one.first and {
+                "second": (one.first.now - one.life.now) / 1e6,
+                "heard": [repr(each) for each in one.first.heard[:8]],
+                "no_longer": [repr(each) for each in one.first.recorded[:8]],
+                "instead": [repr(each) for each in one.first.replayed[:8]]},
+            "orders_by_kind": {kind: [one.before[kind], one.after[kind]]
+                               for kind in sorted(one.before.keys() | one.after.keys())},
+            "mean_weight": {f"{server[0]}:{server[1]}": [old, new] for server, old, new in moved[:20]}})
+    if as_json:
+        click.echo(json.dumps(rows))
+        return
+    for row in rows:
+        many = row["differing"]
+        same = f"[red]{many} steps differ[/red]" if many else "[green]the same[/green]"
+        console.print(f"director {row['director']}, {row['epoch']}: {row['steps']} steps, "
+                      f"{row['orders']} orders, {same}"
+                      + (f"; not to the end: {row['hole']}" if row["hole"] else ""))
+        if not row["first"]:
+            continue
+        console.print(f"first at {row['first']['second']:.2f} s; from there on the recorded reports answer "
+                      "other decisions, and tell less the further the two part")
+        for name in ("heard", "no_longer", "instead"):
+            for each in row["first"][name]:
+                console.print(f"  {name.replace('_', ' ')}: {each}", soft_wrap=True)
+        table = Table("orders", "recorded", "replayed")
+        for kind, (old, new) in row["orders_by_kind"].items():
+            table.add_row(kind, str(old), str(new))
+        console.print(table)
+        table = Table("server", "mean weight recorded", "replayed")
+        for server, (old, new) in row["mean_weight"].items():
+            table.add_row(server, f"{old:.3f}", f"{new:.3f}")
+        console.print(table)
--- a/rainpick/director/core.py
+++ b/rainpick/director/core.py
@@ -11,6 +11,7 @@
 import time
 from collections import OrderedDict, deque
 from collections.abc import Callable
+from pathlib import Path
 from typing import Any
 
 import structlog
@@ -29,6 +30,8 @@
 from rainpick.mqtt.session import PacketReader
 from rainpick.otlp.metrics import Batch
 from rainpick.publish.pins import PinError, Pins
+from rainpick.record.recorder import Recorder, module_digest
+from rainpick.record.steps import Life
 from rainpick.sasp import codec
 from rainpick.sasp.codec import Deregistration, GetWeights, Group, Registration, SetLbState, SetMemberState
 from rainpick.sasp.session import Asked, Ended, Refused, reply
@@ -94,6 +97,7 @@
         self.cache = ListCache(cache, settings) if cache else None
         self.subscribers = Subscribers(self)
         self.pins: Pins | None = None
+        self.recorder: Recorder | None = None
         self.watch_us = now
         self.stopping = False
         self.failure: BaseException | None = None
@@ -140,6 +144,8 @@
                 stream.close()
             if self.cache is not None:
                 self.cache.close()
+            if self.recorder is not None:
+                self.recorder.close()
 
     def wait_s(self) -> float:
         now = self.clock()
@@ -198,6 +204,8 @@
             if begin_us is None or now < begin_us:
                 return
             self.engine = Engine(self.settings, self.seed, now, self.module)
+            if self.settings.record.folder is not None:
+                self.record(now)
             tables = self.engine.tables
             self.pins = Pins(self.is_listed, tables.withdrawn.__contains__, self.is_warm)
             tables.overlay = self.pins.overlay
@@ -217,6 +225,15 @@
             self.engine.list_changed(update)
             self.keep_list(now)
 
+    def record(self, now: int) -> None:
+        """Keep what the decisions are told and order, from the first step on."""
+        words = self.settings.record
+        life = Life(self.settings.director.number, self.subscribers.epoch, module_digest(),
+                    time.time_ns() // 1000, now, self.settings.model_dump(mode="json"))
+        self.recorder = Recorder(Path(words.folder), life, words.segment_most, words.keep_most, words.keep,
+                                 words.sync)
+        self.engine.watch = self.recorder.step
+
     def is_listed(self, server: tuple) -> bool:
         entry = self.engine.listed.get(server)
         return entry is not None and entry.state != api.GONE
--- a/rainpick/director/status.py
+++ b/rainpick/director/status.py
@@ -52,6 +52,8 @@
          "push": served.pushes, "blocked": served.blocked_us is not None, "peer": served.stream.peer,
          "rate": round(core.evidence.rates.get(served.uid, 0.0), 2)}
         for _, served in sorted(core.by_uid.items())]
+    if core.recorder is not None:
+        found["record"] = {"steps": core.recorder.steps, "lost": core.recorder.lost}
     found["notes"] = list(engine.notes)
     found["epoch"], found["subscribers"] = core.subscribers.epoch, core.subscribers.status()
     found["tables"] = [table_row(core, number) for number in sorted(tables.lines)]
--- /dev/null
+++ b/rainpick/record/__init__.py
@@ -0,0 +1,1 @@
+"""Days as directors lived them: recorded step by step, and played again."""
--- a/rainpick/settings/model.py
+++ b/rainpick/settings/model.py
@@ -143,6 +143,14 @@
     idle: Duration = Field("60s", description="a silent connection is closed after this")
 
 
+class RecordPart(Part):
+    folder: str | None = Field(None, description="where the day is recorded; not at all if absent")
+    segment_most: int = Field(67_108_864, ge=65_536, description="bytes of a segment")
+    keep_most: int = Field(10_737_418_240, ge=0, description="bytes kept in all; 0: no limit")
+    keep: Duration = Field("168h", description="how long segments are kept")
+    sync: bool = Field(True, description="wait for the disk after each block (twice a second)")
+
+
 class LogPart(Part):
     level: Literal["debug", "info", "warning", "error"] = "info"
     format: Literal["json", "console"] = "json"
@@ -169,6 +177,7 @@
     otlp: OtlpPart = OtlpPart()
     prices: PricesPart = PricesPart()
     log: LogPart = LogPart()
+    record: RecordPart = RecordPart()
 
     @model_validator(mode="after")
     def names_are_known(self) -> Settings:
--- /dev/null
+++ b/tests/store/test_log.py
@@ -0,0 +1,147 @@
+"""The store: whole after a cut at any byte, honest about every flipped bit, and no larger than it may be."""
+
+import errno
+import os
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from rainpick.store import Damage, FullError, Gap, Log, Record, StoreError, Torn, read, segments
+from rainpick.store.blocks import SEGMENT
+
+
+def fill(folder, blocks=3, each=4, **words):
+    log = Log(folder, sync=False, **words)
+    for block in range(blocks):
+        for row in range(each):
+            number = block * each + row
+            log.append(1000 + number, number % 3, b"payload %d" % number)
+        log.flush()
+    return log
+
+
+def numbers(folder, **words):
+    return [int(one.payload.split()[1]) for one in read(folder, **words) if isinstance(one, Record)]
+
+
+def others(folder):
+    return [one for one in read(folder) if not isinstance(one, Record)]
+
+
+def test_what_is_flushed_is_read_in_order_and_by_time(tmp_path):
+    fill(tmp_path).close()
+    assert numbers(tmp_path) == list(range(12)) and not others(tmp_path)
+    assert numbers(tmp_path, from_us=1004, until_us=1006) == [4, 5, 6]
+
+
+def test_a_second_life_goes_on_where_the_first_ended(tmp_path):
+    fill(tmp_path).close()
+    log = Log(tmp_path)
+    assert log.torn is None
+    log.append(5000, 1, b"payload 99")
+    log.close()
+    assert numbers(tmp_path) == [*range(12), 99]
+
+
+def test_cut_at_every_byte_of_the_last_block_every_whole_one_is_kept(tmp_path):
+    whole = tmp_path / "whole"
+    log = fill(whole, blocks=2)
+    end_of_second = log.file.tell()
+    for number in range(8, 12):
+        log.append(1000 + number, 0, b"payload %d" % number)
+    log.close()
+    data = (whole / "0000000001.seg").read_bytes()
+    for cut in range(end_of_second, len(data) + 1):
+        folder = tmp_path / str(cut)
+        folder.mkdir()
+        (folder / "0000000001.seg").write_bytes(data[:cut])
+        log = Log(folder, sync=False)
+        kept = list(range(12)) if cut == len(data) else list(range(8))
+        assert (log.torn is not None) == (end_of_second < cut < len(data))
+        log.append(1, 0, b"payload 77")
+        log.close()
+        assert numbers(folder) == [*kept, 77] and not others(folder)
+
+
+@pytest.mark.parametrize("cut", range(SEGMENT.size))
+def test_a_segment_whose_head_was_not_written_is_begun_again(tmp_path, cut):
+    fill(tmp_path).close()
+    (tmp_path / "0000000002.seg").write_bytes(b"RPSG\0\1\0\0\0\0\0\0\0\2"[:cut])
+    log = Log(tmp_path, sync=False)
+    log.append(1, 0, b"payload 50")
+    log.close()
+    assert numbers(tmp_path) == [*range(12), 50] and segments(tmp_path) == [1, 2]
+
+
+@given(st.integers(0, 10_000), st.integers(0, 7))
+@settings(max_examples=150, deadline=None, derandomize=True)
+def test_a_flipped_bit_is_found_and_placed_and_never_played(tmp_path_factory, at, bit):
+    folder = tmp_path_factory.mktemp("flip")
+    log = fill(folder)
+    log.close()
+    path = folder / "0000000001.seg"
+    data = bytearray(path.read_bytes())
+    at %= len(data)
+    data[at] ^= 1 << bit
+    path.write_bytes(bytes(data))
+    try:
+        found = list(read(folder))
+    except StoreError as flaw:
+        assert at < SEGMENT.size and "format" in str(flaw)
+        return
+    told = [one for one in found if isinstance(one, Damage | Torn)]
+    assert told and any(one.at <= at < one.at + one.size for one in told)
+    played = [int(one.payload.split()[1]) for one in found if isinstance(one, Record)]
+    assert played == [one for one in range(12) if one in played], "in order, none twice"
+    assert {one // 4 for one in played} == {block for block in range(3) if block * 4 in played}
+    assert len(played) == (12 if at < SEGMENT.size else 8)
+
+
+def test_a_missing_segment_is_told(tmp_path):
+    log = fill(tmp_path, blocks=9, segment_most=100)
+    log.close()
+    there = segments(tmp_path)
+    assert len(there) > 5
+    (tmp_path / "0000000003.seg").unlink()
+    (tmp_path / "0000000004.seg").unlink()
+    assert others(tmp_path) == [Gap(3, 4)]
+    assert numbers(tmp_path) == [*range(8), *range(16, 36)]
+
+
+def test_another_format_is_refused_by_name(tmp_path):
+    fill(tmp_path).close()
+    path = tmp_path / "0000000001.seg"
+    path.write_bytes(b"RPSG\0\7" + path.read_bytes()[6:])
+    with pytest.raises(StoreError, match="format 7"):
+        list(read(tmp_path))
+
+
+def test_a_disk_that_fills_up_within_a_block_leaves_the_store_whole(tmp_path):
+    log = fill(tmp_path, blocks=1)
+
+    def full(data):
+        log.file.write(data[:len(data) // 2])
+        raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+
+    log.write, write = full, log.write
+    log.append(2000, 0, b"payload 100")
+    with pytest.raises(FullError, match="No space left"):
+        log.flush()
+    assert log.lost == 1
+    log.write = write
+    log.append(2001, 0, b"payload 101")
+    log.close()
+    assert numbers(tmp_path) == [0, 1, 2, 3, 101] and not others(tmp_path)
+
+
+def test_old_segments_go_by_size_and_by_age(tmp_path):
+    log = fill(tmp_path / "size", blocks=30, segment_most=100, keep_most=2000)
+    assert sum(path.stat().st_size for path in (tmp_path / "size").iterdir()) < 2400
+    assert numbers(tmp_path / "size")[-1] == 119
+    log.close()
+    fill(tmp_path / "age", blocks=4, segment_most=100).close()
+    for number in segments(tmp_path / "age")[:2]:
+        os.utime(tmp_path / "age" / f"{number:010d}.seg", (1, 1))
+    fill(tmp_path / "age", blocks=1, segment_most=100, keep_us=1_000_000).close()
+    assert segments(tmp_path / "age")[0] == 3
