--- a/tests/record/test_replay.py
+++ b/tests/record/test_replay.py
@@ -34,7 +34,7 @@
 
 
 def lived(folder, seconds=20):
-    """A director under a virtual clock, its steps recorded: drains, reports, a loss, joins, a proxy that goes."""
+    """A director under a virtual clock, its steps recorded: drains, reports, a loss, joins."""
     drive = Drive('rules: {warm_after: "6s"}, proxies: {count: 1}')
     log = Log(folder, sync=False)
     log.append(1, LIFE, write_life(LIFE_))
