--- /dev/null
+++ b/benchmarks/record.py
@@ -0,0 +1,124 @@
+"""What recording costs the core, what a replay takes, and how long a large store takes to open after a kill."""
+
+import os
+import random
+import shutil
+import sys
+import time
+
+from benchmarks.peers import folder
+from rainpick import interface as api
+from rainpick.director.engine import Engine
+from rainpick.record.recorder import Recorder
+from rainpick.record.replay import lives, play
+from rainpick.record.steps import Life
+from rainpick.settings import parse
+from rainpick.store import Log, read
+
+SERVERS, PROXIES, MINUTES = 120, 300, 10
+TEXT = """{
+  routes: [{name: "lookup", slo_time: "500ms", time_limit: "2s"}],
+  proxies: {count: 300, hears_per_s: 80}, rules: {warm_after: "12s"},
+  channel: {lines_per_s: 2500, head_lines: 6, pending_lines: 5000},
+}"""
+
+
+def server(number: int, state: int = api.READY, started_us: int = 0) -> api.Server:
+    return api.Server(2.0, 0, started_us, number % 2, number // 4, ("10.0.0.1", 9000 + number), state)
+
+
+def day(minutes: float, watch=None) -> tuple[float, int, int]:
+    """Emulated hosts: 80 report lines a second, a deploy, proxies that come and go. Core seconds, steps, events."""
+    settings, chance, now = parse(TEXT), random.Random(3), 1_000_000
+    engine = Engine(settings, 5, now)
+    engine.watch = watch
+    engine.list_changed(api.Listed(api.CACHED, tuple(map(server, range(SERVERS))), 1))
+    for proxy in range(PROXIES):
+        engine.joined(proxy, True, 2.0, 0, ())
+    end, second, begin = now + int(minutes * 60e6), 0, time.thread_time()
+
+    def turn():
+        for write in engine.advance(now):
+            engine.delivered(write.proxy, write.number)
+
+    while now < end:
+        second += 1
+        lines = []
+        for _ in range(40):
+            tries = chance.randint(4, 12)
+            lines.append(api.ServerMet(("10.0.0.1", 9000 + chance.randrange(SERVERS)), 0, tries,
+                                       int(chance.random() < 0.02), chance.randint(30_000, 90_000), 1_000_000, ()))
+            lines.append(api.ProxyMet(chance.randrange(PROXIES), 0, chance.randint(0, 5), 0, 1_000_000))
+        engine.met(lines)
+        if second % 40 == 0:
+            engine.list_changed(api.Listed(api.DELTA, (server(second % SERVERS, api.DRAINING),), second))
+        elif second % 40 == 5 and second > 40:
+            engine.list_changed(api.Listed(api.DELTA, (server((second - 5) % SERVERS, started_us=now),), second))
+        if second % 7 == 0:
+            gone = chance.randrange(PROXIES)
+            engine.left(gone)
+            engine.joined(gone, False, 2.0, 0, ())
+        until = now + 1_000_000
+        turn()
+        while (due := engine.due_us()) is not None and due <= until:
+            now = max(now, due)
+            turn()
+        now = until
+    return time.thread_time() - begin, engine.counts.steps, engine.counts.events
+
+
+def main() -> None:
+    place = folder() / "day"
+    off = [day(2)[0] for _ in range(3)]
+    on, lost = [], 0
+    for turn in range(3):
+        life = Life(0, "bench", "", 1_000_000, 1_000_000, {})
+        recorder = Recorder(folder() / f"cost{turn}", life, 64 << 20, 0, 0, False)
+
+        def slowly(*words, recorder=recorder):  # virtual time outruns any disk: wait where a live core would not
+            while recorder.queue.full():
+                time.sleep(0.0005)
+            recorder.step(*words)
+
+        on.append(day(2, slowly)[0])
+        recorder.close()
+        lost += recorder.lost
+    print(f"core seconds for two minutes: off {min(off):.3f}, recording {min(on):.3f}: "
+          f"{min(on) / min(off):.3f} times; {lost} steps lost")
+    life = Life(0, "bench", "", 1_000_000, 1_000_000, {})
+    recorder = Recorder(place, life, 64 << 20, 0, 0, False)
+
+    def step(*words):
+        while recorder.queue.full():
+            time.sleep(0.0005)
+        recorder.step(*words)
+
+    core_s, steps, events = day(MINUTES, step)
+    recorder.close()
+    size = sum(path.stat().st_size for path in place.iterdir())
+    print(f"{MINUTES} minutes: {steps} steps, {events} events, {size / 1e6:.2f} MB, {size / events:.1f} bytes an "
+          f"event, {size * 144 / 1e9 * 10 / MINUTES:.2f} GB a day")
+    begin = time.perf_counter()
+    one, = [play(life, rows) for life, rows in lives(read(place))]
+    took = time.perf_counter() - begin
+    print(f"replay: {took:.2f} s for {MINUTES} minutes, a day of 24 h in {took * 144 * 10 / MINUTES / 60:.1f} min; "
+          f"{one.differing} steps differ; {took / core_s:.2f} times the engine's own time")
+    large = folder() / "large"
+    log = Log(large, sync=False)
+    block = [(number, 2, os.urandom(1000)) for number in range(2000)]
+    goal = min(4 << 30, shutil.disk_usage(large).free // 4)
+    written = 0
+    while written < goal:
+        log.waiting = list(block)
+        log.flush()
+        written += 2_000_000
+    log.file.write(b"RPBK half of a block")
+    log.file.flush()
+    begin = time.perf_counter()
+    again = Log(large, sync=False)
+    print(f"open after a kill, {written / 1e9:.1f} GB: {time.perf_counter() - begin:.3f} s, torn: {again.torn}")
+    shutil.rmtree(large)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -565,6 +565,7 @@
         closing = [held for held in self.servers.values() if held.part <= 0 and not held.shut]
         # Ejections, and what only a list that may be wrong calls gone, leave room and a message to drains:
         # a queue that they had filled let drains in one by one, each with the heads of its messages.
+        reserved = set()
         for held in sorted(closing, key=lambda held: (held.state == READY, held.doubted)):
             gone, orders = held.state == GONE, [api.Withdraw(held.entry.address, True)]
             orders += [api.SetLine(number, held.entry.address, 0.0) for number in held.told if gone]
@@ -572,6 +573,8 @@
             least, spared = (2, keep_bind) if held.state == READY or held.doubted else (1, 0)
             if self.put(orders, tables, 1 + gone, least, spared):
                 held.shut, held.told = True, {} if gone else held.told
+            elif least == 1:
+                reserved.update(tables)  # a drain needs a message of all their proxies at once
         served, heated = ({number for held in group if not held.shut for number in held.told}
                           for group in (self.servers.values(), warm))
         for held in self.servers.values():
@@ -593,7 +596,7 @@
             # was back in a second, told in six pieces, and waited for all of its tables' proxies at once.
             least, spared = (2, keep_bind) if held in warm else (1, 0)
             for needy in [[table] for table in sinks] + ([cool] if cool else []):
-                self.change(held, least, spared, needy)
+                self.change(held, 2 if reserved.intersection(needy) else least, spared, needy)
         self.due = [held for held in self.due if self.loose.proxies or not self.change(held, 2, keep)]
         self.seal()
 
