--- a/benchmarks/record.py
+++ b/benchmarks/record.py
@@ -1,4 +1,4 @@
-"""What recording costs the core, what a replay takes, and how long a large store takes to open after a kill."""
+"""What recording costs the core, what a replay takes, how long a large store takes to open after a kill."""
 
 import os
 import random
@@ -28,7 +28,7 @@
 
 
 def day(minutes: float, watch=None) -> tuple[float, int, int]:
-    """Emulated hosts: 80 report lines a second, a deploy, proxies that come and go. Core seconds, steps, events."""
+    """80 report lines a second, a deploy, proxies that come and go: core seconds, steps, events."""
     settings, chance, now = parse(TEXT), random.Random(3), 1_000_000
     engine = Engine(settings, 5, now)
     engine.watch = watch
@@ -46,14 +46,16 @@
         lines = []
         for _ in range(40):
             tries = chance.randint(4, 12)
-            lines.append(api.ServerMet(("10.0.0.1", 9000 + chance.randrange(SERVERS)), 0, tries,
-                                       int(chance.random() < 0.02), chance.randint(30_000, 90_000), 1_000_000, ()))
+            met, took_us = ("10.0.0.1", 9000 + chance.randrange(SERVERS)), chance.randint(30_000, 90_000)
+            dropped = int(chance.random() < 0.02)
+            lines.append(api.ServerMet(met, 0, tries, dropped, took_us, 1_000_000, ()))
             lines.append(api.ProxyMet(chance.randrange(PROXIES), 0, chance.randint(0, 5), 0, 1_000_000))
         engine.met(lines)
         if second % 40 == 0:
             engine.list_changed(api.Listed(api.DELTA, (server(second % SERVERS, api.DRAINING),), second))
         elif second % 40 == 5 and second > 40:
-            engine.list_changed(api.Listed(api.DELTA, (server((second - 5) % SERVERS, started_us=now),), second))
+            fresh = server((second - 5) % SERVERS, started_us=now)
+            engine.list_changed(api.Listed(api.DELTA, (fresh,), second))
         if second % 7 == 0:
             gone = chance.randrange(PROXIES)
             engine.left(gone)
@@ -75,7 +77,7 @@
         life = Life(0, "bench", "", 1_000_000, 1_000_000, {})
         recorder = Recorder(folder() / f"cost{turn}", life, 64 << 20, 0, 0, False)
 
-        def slowly(*words, recorder=recorder):  # virtual time outruns any disk: wait where a live core would not
+        def slowly(*words, recorder=recorder):  # virtual time outruns any disk: a live core would not wait
             while recorder.queue.full():
                 time.sleep(0.0005)
             recorder.step(*words)
@@ -96,13 +98,13 @@
     core_s, steps, events = day(MINUTES, step)
     recorder.close()
     size = sum(path.stat().st_size for path in place.iterdir())
-    print(f"{MINUTES} minutes: {steps} steps, {events} events, {size / 1e6:.2f} MB, {size / events:.1f} bytes an "
-          f"event, {size * 144 / 1e9 * 10 / MINUTES:.2f} GB a day")
+    print(f"{MINUTES} minutes: {steps} steps, {events} events, {size / 1e6:.2f} MB, "
+          f"{size / events:.1f} bytes an event, {size * 144 / 1e9 * 10 / MINUTES:.2f} GB a day")
     begin = time.perf_counter()
     one, = [play(life, rows) for life, rows in lives(read(place))]
     took = time.perf_counter() - begin
-    print(f"replay: {took:.2f} s for {MINUTES} minutes, a day of 24 h in {took * 144 * 10 / MINUTES / 60:.1f} min; "
-          f"{one.differing} steps differ; {took / core_s:.2f} times the engine's own time")
+    print(f"replay: {took:.2f} s for {MINUTES} minutes, a day of 24 h in "
+          f"{took * 144 * 10 / MINUTES / 60:.1f} min; {one.differing} steps differ; {took / core_s:.2f} times the engine's own time")
     large = folder() / "large"
     log = Log(large, sync=False)
     block = [(number, 2, os.urandom(1000)) for number in range(2000)]
@@ -116,7 +118,8 @@
     log.file.flush()
     begin = time.perf_counter()
     again = Log(large, sync=False)
-    print(f"open after a kill, {written / 1e9:.1f} GB: {time.perf_counter() - begin:.3f} s, torn: {again.torn}")
+    took = time.perf_counter() - begin
+    print(f"open after a kill, {written / 1e9:.1f} GB: {took:.3f} s, torn: {again.torn}")
     shutil.rmtree(large)
 
 
