--- a/benchmarks/record.py
+++ b/benchmarks/record.py
@@ -104,7 +104,8 @@
     one, = [play(life, rows) for life, rows in lives(read(place))]
     took = time.perf_counter() - begin
     print(f"replay: {took:.2f} s for {MINUTES} minutes, a day of 24 h in "
-          f"{took * 144 * 10 / MINUTES / 60:.1f} min; {one.differing} steps differ; {took / core_s:.2f} times the engine's own time")
+          f"{took * 144 * 10 / MINUTES / 60:.1f} min; {one.differing} steps differ; "
+          f"{took / core_s:.2f} times the engine's own time")
     large = folder() / "large"
     log = Log(large, sync=False)
     block = [(number, 2, os.urandom(1000)) for number in range(2000)]
