--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -162,6 +162,7 @@
         self.servers, self.proxies, self.slices, self.far = {}, {}, {}, {}
         self.tables, self.loose, self.due = [], Table(None), []
         self.mark, self.next_tick, self.next_beat = 0, self.now, self.now
+        self.burst = max(1.0, BURST * (self.get("proxies.pushes_allowed", 0) - 1))
         self.waiting, self.written = 0, []  # lines that no proxy has answered; what is written in this step
         # Withdrawals wait behind all that was written before: the queue may last for a part of the grace.
         self.pending = self.get("proxies.pending_max", 1e9)
@@ -438,10 +439,9 @@
 
     def tokens(self, proxy):
         """Messages that may go to a proxy now: a small burst, then evenly, the cap in any span at most."""
-        most = self.get("proxies.pushes_allowed", 0) - 1
+        most, burst = self.get("proxies.pushes_allowed", 0) - 1, self.burst
         if most <= 0:
-            return 2.0
-        burst = max(1.0, BURST * most)
+            return burst
         rate = (most - burst) / self.get("proxies.counted_over_us", TICK_US)
         filled = proxy.tokens + (self.now - proxy.filled_us) * rate
         proxy.tokens, proxy.filled_us = min(burst, filled), self.now
@@ -527,7 +527,8 @@
         """Give orders of so many lines for some tables if the queue and the proxies' allowance have room."""
         cost = sum(len(table.proxies) * (lines + (0 if table.lines else self.head)) for table in tables)
         fresh = [proxy for table in tables if not table.lines for proxy in table.proxies.values()]
-        if cost > self.spare - keep or any(self.tokens(proxy) < least for proxy in fresh):
+        if cost > self.spare - keep or any(
+                self.tokens(proxy) < min(least, self.burst) for proxy in fresh):
             return False
         self.spare, self.orders = self.spare - cost, self.orders + orders
         for table in tables:
@@ -597,7 +598,8 @@
             least, spared = (2, keep_bind) if held in warm else (1, 0)
             for needy in [[table] for table in sinks] + ([cool] if cool else []):
                 self.change(held, 2 if reserved.intersection(needy) else least, spared, needy)
-        self.due = [held for held in self.due if self.loose.proxies or not self.change(held, 2, keep)]
+        # Ramp steps leave a message more: a zone that is back costs several before all its starts are known.
+        self.due = [held for held in self.due if self.loose.proxies or not self.change(held, 3, keep)]
         self.seal()
 
     def change(self, held, least, keep, needy=None):
