--- a/rainpick/record/steps.py
+++ b/rainpick/record/steps.py
@@ -15,7 +15,7 @@
     api.ClearTable, api.Withdraw, api.Mark, api.Bind, api.Admit, api.Probe, api.Tell, api.SetTimer,
     api.Subscribe, api.FetchList, api.Note)
 CODES = {kind: place for place, kind in enumerate(TYPES)}
-LISTED, STARTED = CODES[api.Listed], CODES[api.Started]
+LISTED = CODES[api.Listed]
 encoder = msgspec.msgpack.Encoder()
 
 
--- a/rainpick/sasp/session.py
+++ b/rainpick/sasp/session.py
@@ -26,7 +26,6 @@
     Registration: codec.REGISTRATION, Deregistration: codec.DEREGISTRATION, GetWeights: codec.GET_WEIGHTS,
     SetLbState: codec.SET_LB_STATE, SetMemberState: codec.SET_MEMBER_STATE,
 }
-ROWS_MOST = 0xFFFF
 
 
 class Asked(NamedTuple):
--- a/rainpick/standins/mqtt_client.py
+++ b/rainpick/standins/mqtt_client.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import socket
 
 from rainpick.mqtt import codec
@@ -10,8 +9,7 @@
 from rainpick.publish import payloads
 from rainpick.publish.follow import Follower
 from rainpick.publish.payloads import Presence, Trouble
-
-PIECE = 65_536
+from rainpick.standins import blocking
 
 
 class MqttProxy:
@@ -33,17 +31,7 @@
         self.sock.sendall(b"".join(codec.write(one) for one in packets))
 
     def packets(self, timeout_s: float) -> list[codec.Packet]:
-        self.sock.settimeout(timeout_s)
-        try:
-            data = self.sock.recv(PIECE)
-        except TimeoutError:
-            return []
-        if not data:
-            raise ConnectionResetError("the director closed the connection")
-        try:
-            return self.end.receive(data)
-        except codec.MqttError as flaw:
-            raise ConnectionAbortedError(str(flaw)) from None
+        return blocking.receive(self.sock, timeout_s, self.end.receive, codec.MqttError)
 
     def wait_for(self, kind: type) -> codec.Packet:
         """The next packet of a kind; what is published meanwhile is taken."""
@@ -115,6 +103,4 @@
         return self.take(self.packets(timeout_s))
 
     def close(self) -> None:
-        with contextlib.suppress(OSError):
-            self.sock.shutdown(socket.SHUT_RDWR)
-        self.sock.close()
+        blocking.close(self.sock)
--- a/rainpick/standins/sasp_client.py
+++ b/rainpick/standins/sasp_client.py
@@ -2,13 +2,11 @@
 
 from __future__ import annotations
 
-import contextlib
 import socket
 
 from rainpick.sasp import codec
 from rainpick.sasp.session import ClientEnd
-
-PIECE = 65_536
+from rainpick.standins import blocking
 
 
 class SaspClient:
@@ -26,17 +24,7 @@
 
     def receive(self, timeout_s: float | None) -> list:
         """What came within the time; nothing if it ran out."""
-        self.sock.settimeout(timeout_s)
-        try:
-            data = self.sock.recv(PIECE)
-        except TimeoutError:
-            return []
-        if not data:
-            raise ConnectionResetError("the director closed the stream")
-        try:
-            return self.end.receive(data)
-        except codec.SaspError as flaw:
-            raise ConnectionAbortedError(str(flaw)) from None
+        return blocking.receive(self.sock, timeout_s, self.end.receive, codec.SaspError)
 
     def ask(self, message: codec.Message) -> codec.Message:
         """The reply; pushed weights that came before it are kept in ``pushed``."""
@@ -63,6 +51,4 @@
         return found
 
     def close(self) -> None:
-        with contextlib.suppress(OSError):
-            self.sock.shutdown(socket.SHUT_RDWR)
-        self.sock.close()
+        blocking.close(self.sock)
