A drain that cannot go at once goes table by table

Change: a drain that finds no room at once is taken off each table as that table's proxies have a message.

--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -574,8 +574,13 @@
             least, spared = (2, keep_bind) if held.state == READY or held.doubted else (1, 0)
             if self.put(orders, tables, 1 + gone, least, spared):
                 held.shut, held.told = True, {} if gone else held.told
-            elif least == 1:
-                reserved.update(tables)  # a drain needs a message of all their proxies at once
+            for table in tables[:-1] if least == 1 and not held.shut else ():
+                # Not all their proxies have a message now, and drains that share tables take it from each
+                # other: then each table lets go of it as it can.
+                if self.put([api.SetLine(table.number, held.entry.address, 0.0)], [table], 1, 1, 0):
+                    held.told.pop(table.number)
+                else:
+                    reserved.add(table)
         served, heated = ({number for held in group if not held.shut for number in held.told}
                           for group in (self.servers.values(), warm))
         for held in self.servers.values():
