--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -466,7 +466,7 @@
         """By zone, at what part of their weight its tables use servers of other zones: none, if it can do."""
         usable, wanted = defaultdict(float), defaultdict(float)
         for held in self.servers.values():
-            usable[held.entry.zone] += held.laid()
+            usable[held.entry.zone] += held.laid() * (not held.shut)
         for proxy in self.proxies.values():
             wanted[proxy.zone] += proxy.rate
         per_proxy = sum(wanted.values()) / max(1, len(self.proxies)) or 1.0
@@ -547,7 +547,8 @@
             self.make_tables()
         if self.now >= self.next_tick:
             self.tick()
-        self.warm_now = sum(held.entry.weight for held in warm if not held.eject_until)
+        # What is back but not yet told to proxies takes no calls: it neither spares the cold nor a zone.
+        self.warm_now = sum(held.entry.weight for held in warm if not (held.eject_until or held.shut))
         self.warm_most = max(self.warm_now, self.warm_most, 1e-9)
         self.cold_part = min(1.0, (self.warm_now or self.warm_most) / self.warm_most / FEW_WARM)
         for table in self.tables:
