Warm lines for a table of cold ones may use the last message

Change: those lines go table by table and may use the last message, as lower weights for the cold do.

--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -600,10 +600,11 @@
             sinks = [table for table in held.tables if not held.shut
                      and held.told.get(table.number, 0.0) > 1.5 * self.weight(held, table)]
             # They may use what is kept for drains, all in one message, and each table as it can: half a zone
-            # was back in a second, told in six pieces, and waited for all of its tables' proxies at once.
-            least, spared = (2, keep_bind) if held in warm else (1, 0)
-            for needy in [[table] for table in sinks] + ([cool] if cool else []):
-                self.change(held, 2 if reserved.intersection(needy) else least, spared, needy)
+            # was back in a second, told in six pieces, and waited for all of its tables' proxies at once. So
+            # may warm lines for a table of cold ones: it waited 3 s, and then the other zone was lost.
+            for table in dict.fromkeys((*sinks, *cool)):
+                spare = table in reserved or held in warm and table not in cool
+                self.change(held, 1 + spare, keep_bind if spare else 0, [table])
         # Ramp steps leave a message more: a zone that is back costs several before all its starts are known.
         self.due = [held for held in self.due if self.loose.proxies or not self.change(held, 3, keep)]
         self.seal()
