--- a/rainpick/cli/main.py
+++ b/rainpick/cli/main.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from functools import wraps
 from pathlib import Path
+from typing import BinaryIO
 
 import click
 
@@ -301,31 +302,94 @@
     sys.exit(1 if many else 0)
 
 
+@record.command("show")
+@click.argument("folders", nargs=-1, required=True, type=click.Path(file_okay=False, exists=True))
+@click.option("--from", "begin", type=float, default=0.0, metavar="SECOND",
+              help="Seconds from the first step.")
+@click.option("--until", "end", type=float, metavar="SECOND")
+@click.option("--reports-by-time", is_flag=True,
+              help="Reports by when what they tell of began; both places are told.")
+@plain_errors
+def record_show(folders: tuple[str, ...], begin: float, end: float | None, reports_by_time: bool) -> None:
+    """What was heard and ordered, a line each; several records are shown on one clock."""
+    from rainpick.cli import show
+
+    if reports_by_time:
+        show.reports_by_time([Path(folder) for folder in folders])
+    else:
+        show.record_steps([Path(folder) for folder in folders], begin, end)
+
+
+@record.command("export")
+@click.argument("folder", type=click.Path(file_okay=False, exists=True))
+@click.argument("file", type=click.File("wb"), default="-")
+@plain_errors
+def record_export(folder: str, file: BinaryIO) -> None:
+    """Write a record as lines of JSON."""
+    from rainpick.record.exchange import write
+    from rainpick.store import read
+
+    for line in write(read(Path(folder))):
+        file.write(line)
+
+
+@record.command("import")
+@click.argument("file", type=CONFIG)
+@click.argument("folder", type=click.Path(file_okay=False))
+@plain_errors
+def record_import(file: str, folder: str) -> None:
+    """Make a record of an export, in a new folder."""
+    from rainpick.record.exchange import ExchangeError, import_file
+
+    try:
+        count = import_file(Path(file), Path(folder))
+    except ExchangeError as flaw:
+        click.echo(f"rainpick: {flaw}", err=True)
+        sys.exit(2)
+    click.echo(f"{count} records")
+
+
 @main.command()
 @click.argument("folder", type=click.Path(file_okay=False, exists=True))
 @click.option("--set", "changes", multiple=True, metavar="NAME=VALUE",
               help="Another setting for the decisions, by the module's name; may be given again.")
+@click.option("--settings", "file", type=CONFIG, help="Another settings file, in place of the recorded one.")
+@click.option("--module", "text", type=CONFIG, help="Another text of the module; it is run as it stands.")
+@click.option("--until", "end", type=float, metavar="SECOND",
+              help="With --inspect: seconds from the life's begin.")
+@click.option("--inspect", "what", metavar="WHAT", help="fleet, server=HOST:PORT, table=N or proxy=N.")
+@click.option("--life", "number", type=int, default=-1, help="With --inspect: which, from 0; else the last.")
+@click.option("--html", type=click.Path(dir_okay=False), help="Write the report as a page with charts.")
 @click.option("--json", "as_json", is_flag=True, help="As JSON.")
 @plain_errors
-def replay(folder: str, changes: tuple[str, ...], as_json: bool) -> None:
+def replay(folder: str, changes: tuple[str, ...], file: str | None, text: str | None, end: float | None,
+           what: str | None, number: int, html: str | None, as_json: bool) -> None:
     """Feed a recorded day to the decisions again: 0 if every order is the same, 1 if not."""
     from rainpick.cli import show
-    from rainpick.record.replay import lives, play
+    from rainpick.record.load import ModuleError, module
+    from rainpick.record.load import changes as read_changes
+    from rainpick.record.replay import Director, lives, play
+    from rainpick.settings import Settings
+    from rainpick.settings.plain import plain_map
     from rainpick.store import read
 
-    words = {}
-    for change in changes:
-        name, equals, value = change.partition("=")
-        try:
-            words[name] = json.loads(value) if equals else None
-        except ValueError:
-            words[name] = value
-        if not equals or not name:
-            raise click.BadParameter(f"{change!r} is not NAME=VALUE")
-    found = [play(life, steps, changes=words) for life, steps in lives(read(Path(folder)))]
+    try:
+        words = read_changes(list(changes))
+        director = module(Path(text)) if text else Director
+    except (ValueError, ModuleError) as flaw:
+        raise click.BadParameter(str(flaw)) from None
+    replace = plain_map(load(file, Settings)) if file else None
+    if what:
+        sys.exit(show.inspect(Path(folder), what, end, number, director, as_json))
+    found = [play(life, steps, director, words, replace, compare=True)
+             for life, steps in lives(read(Path(folder)))]
     if not found:
         click.echo(f"rainpick: {folder} holds no life of a director", err=True)
         sys.exit(2)
+    if html:
+        from rainpick.record.page import page
+
+        Path(html).write_text(page(f"Replay of {Path(folder).name}", found))
     show.replays(found, as_json)
     sys.exit(1 if any(one.differing or one.hole for one in found) else 0)
 
--- a/rainpick/cli/show.py
+++ b/rainpick/cli/show.py
@@ -220,44 +220,143 @@
     console.print(table)
 
 
+def record_steps(folders: list[Path], begin: float, end: float | None) -> None:
+    """Steps of all records on the wall's clock: seconds, director, place in its record, what, how."""
+    from rainpick.record.clock import together
+    from rainpick.record.replay import Hole
+
+    first = None
+    for moment in together(folders):
+        first = moment.wall_us if first is None else first
+        second = (moment.wall_us - first) / 1e6
+        if second < begin:
+            continue
+        if end is not None and second > end:
+            break
+        head = f"{second:10.3f} {moment.life.director} {moment.place:>7}"
+        if isinstance(moment.step, Hole):
+            click.echo(f"{head} hole     {moment.step.why}")
+            continue
+        for word, rows in (("heard", moment.step.events), ("ordered", moment.step.orders)):
+            for row in rows:
+                click.echo(f"{head} {word:<8} {row}")
+
+
+def reports_by_time(folders: list[Path]) -> None:
+    """Reports by when what they tell of began."""
+    from rainpick.record.clock import reports_by_time as ordered
+    from rainpick.record.replay import lives
+    from rainpick.store import read
+
+    for folder in folders:
+        for life, steps in lives(read(folder)):
+            for placed, heard, late in ordered(steps):
+                second = (late.began_us - life.now) / 1e6
+                after = (late.heard_us - late.began_us) / 1e6
+                click.echo(f"{second:10.3f} {life.director} {placed:>7} heard as {heard:>7}, {after:.3f} s "
+                           f"after its begin: {late.event}")
+
+
+def inspect(folder: Path, what: str, end: float | None, number: int, module: Any, as_json: bool) -> int:
+    """What a director held at a moment. 0, or 2 if there is no such thing or moment."""
+    from rainpick.record import inspect as look
+    from rainpick.record.replay import nth
+    from rainpick.store import read
+
+    kind, _, name = what.partition("=")
+    try:
+        life, steps = nth(lambda: read(folder), number)
+        until = 1 << 62 if end is None else life.now + int(end * 1e6)
+        director = look.reach(life, steps, until, module)
+        if kind == "fleet":
+            found = look.fleet(director)
+        elif kind == "server":
+            found = look.server(director, name)
+        elif kind in ("table", "proxy") and name.isdecimal():
+            found = (look.table if kind == "table" else look.proxy)(director, int(name))
+        else:
+            raise look.InspectError(f"{what!r} is not fleet, server=HOST:PORT, table=N or proxy=N")
+    except LookupError as flaw:
+        click.echo(f"rainpick: {flaw}", err=True)
+        return 2
+    if as_json:
+        click.echo(json.dumps(found))
+        return 0
+    click.echo(f"{(director.now - life.now) / 1e6:.3f} s after the begin of director {life.director}")
+    lines_of(found, "")
+    return 0
+
+
+def lines_of(found: dict[str, Any], indent: str) -> None:
+    for name, value in found.items():
+        words = str(name).replace("_", " ")
+        if name == "because":
+            for cause, times in value:
+                if times != 1.0:
+                    click.echo(f"{indent}  x {times:.4g}  {cause}")
+        elif isinstance(value, dict):
+            click.echo(f"{indent}{words}:")
+            lines_of(value, indent + "  ")
+        else:
+            click.echo(f"{indent}{words}: {value if not isinstance(value, float) else format(value, '.6g')}")
+
+
 def replays(found: list, as_json: bool) -> None:
-    """What would have been decided differently."""
-    rows = []
-    for one in found:
-        moved = [(server, old, new) for server, (old, new) in one.weights.items() if abs(old - new) > 1e-9]
-        moved.sort(key=lambda row: -abs(row[1] - row[2]))
-        rows.append({
-            "director": one.life.director, "epoch": one.life.epoch, "steps": one.steps, "orders": one.orders,
-            "differing": one.differing, "hole": one.hole and one.hole.why,
-            "first": one.first and {
-                "second": (one.first.now - one.life.now) / 1e6,
-                "heard": [repr(each) for each in one.first.heard[:8]],
-                "no_longer": [repr(each) for each in one.first.recorded[:8]],
-                "instead": [repr(each) for each in one.first.replayed[:8]]},
-            "orders_by_kind": {kind: [one.before[kind], one.after[kind]]
-                               for kind in sorted(one.before.keys() | one.after.keys())},
-            "mean_weight": {f"{server[0]}:{server[1]}": [old, new] for server, old, new in moved[:20]}})
+    """What would have been decided differently, in users' terms."""
     if as_json:
-        click.echo(json.dumps(rows))
+        click.echo(json.dumps([replay_json(one) for one in found]))
         return
-    for row in rows:
-        many = row["differing"]
-        same = f"[red]{many} steps differ[/red]" if many else "[green]the same[/green]"
-        console.print(f"director {row['director']}, {row['epoch']}: {row['steps']} steps, "
-                      f"{row['orders']} orders, {same}"
-                      + (f"; not to the end: {row['hole']}" if row["hole"] else ""))
-        if not row["first"]:
-            continue
-        console.print(f"first at {row['first']['second']:.2f} s; from there on the recorded reports answer "
-                      "other decisions, and tell less the further the two part")
-        for name in ("heard", "no_longer", "instead"):
-            for each in row["first"][name]:
-                console.print(f"  {name.replace('_', ' ')}: {each}", soft_wrap=True)
-        table = Table("orders", "recorded", "replayed")
-        for kind, (old, new) in row["orders_by_kind"].items():
-            table.add_row(kind, str(old), str(new))
-        console.print(table)
-        table = Table("server", "mean weight recorded", "replayed")
-        for server, (old, new) in row["mean_weight"].items():
-            table.add_row(server, f"{old:.3f}", f"{new:.3f}")
-        console.print(table)
+    for one in found:
+        replay_text(one)
+
+
+def replay_json(one: Any) -> dict[str, Any]:
+    told, begin = one.compared, one.life.now
+    row: dict[str, Any] = {
+        "director": one.life.director, "epoch": one.life.epoch, "steps": one.steps, "orders": one.orders,
+        "differing": one.differing, "hole": one.hole and one.hole.why, "first": one.first and {
+            "second": (one.first.now - begin) / 1e6,
+            **{name: [repr(each) for each in rows[:8]] for name, rows in (
+                ("heard_before", one.first.before), ("heard", one.first.heard),
+                ("no_longer", one.first.recorded), ("instead", one.first.replayed))}}}
+    if told:
+        row |= {"counts": told.counts, "throttled_s": told.throttled_s, "tells_until_s": told.tells_until_s,
+                "parted": told.parted, "moved": [each._asdict() for each in told.moved],
+                "nearest": {name: [each and {"part": each.part, "second": (each.at_us - begin) / 1e6,
+                                             "who": each.who} for each in pair]
+                            for name, pair in told.nearest.items()}}
+    return row
+
+
+def replay_text(one: Any) -> None:
+    row, told = replay_json(one), one.compared
+    many = one.differing
+    same = f"[red]{many} steps differ[/red]" if many else "[green]the same[/green]"
+    console.print(f"director {one.life.director}, {one.life.epoch}: {one.steps} steps, "
+                  f"{one.orders} orders, {same}"
+                  + (f"; not to the end: {row['hole']}" if row["hole"] else ""))
+    if not one.first:
+        return
+    console.print(f"first at {row['first']['second']:.2f} s")
+    for name in ("heard_before", "heard", "no_longer", "instead"):
+        for each in row["first"][name]:
+            console.print(f"  {name.replace('_', ' ')}: {each}", soft_wrap=True, markup=False)
+    if told is None:
+        return
+    tells = ("the recorded reports tell of both to the end" if told.tells_until_s is None else
+             f"[red]from {told.tells_until_s:.0f} s on the recorded reports answer other decisions too much "
+             "to tell how the day would have gone[/red]")
+    console.print(f"in the mean {told.parted:.1%} of the calls go to other servers; {tells}")
+    table = Table("", "recorded", "replayed")
+    for name, (old, new) in told.counts.items():
+        table.add_row(name, str(old), str(new))
+    table.add_row("seconds throttled", *(f"{each:.1f}" for each in told.throttled_s))
+    for name, pair in told.nearest.items():
+        words = ("-" if each is None else
+                 f"{each.part:.0%} ({each.who}, {(each.at_us - one.life.now) / 1e6:.1f} s)" for each in pair)
+        table.add_row(f"nearest: {name}", *words)
+    console.print(table)
+    table = Table("server", "share of calls recorded", "replayed", title="whose share moves most")
+    for each in told.moved:
+        table.add_row(each.server, f"{each.recorded:.4f}", f"{each.replayed:.4f}")
+    console.print(table)
--- a/rainpick/record/replay.py
+++ b/rainpick/record/replay.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import deque
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any, NamedTuple
 
 from rainpick import interface as api
 from rainpick.balance import Director
-from rainpick.record.steps import LIFE, LOST, STEP, Life, Step, StepError, read_life, read_step
+from rainpick.record.compare import Compare, Compared
+from rainpick.record.steps import LIFE, LOST, STEP, Life, Reader, Step, StepError, read_life
 from rainpick.store import Damage, Gap, Record, Torn
 
 
@@ -23,7 +24,8 @@
 
     step: int
     now: int
-    heard: list  # what the module was told in that step
+    before: list  # what the module was told in the step before
+    heard: list  # and in this one
     recorded: list  # orders that were given and would not be
     replayed: list  # orders that would be given and were not
 
@@ -36,9 +38,7 @@
     orders: int
     differing: int  # steps with other orders
     first: Difference | None
-    before: Counter  # orders by kind as recorded
-    after: Counter  # and as replayed
-    weights: dict  # by server: (mean weight as recorded, as replayed)
+    compared: Compared | None
     hole: Hole | None
     last_us: int
 
@@ -48,7 +48,7 @@
     found = iter(found)
     ahead: list = []
 
-    def steps() -> Iterator[Step | Hole]:
+    def steps(reader: Reader) -> Iterator[Step | Hole]:
         for one in found:
             if not isinstance(one, Record):
                 if not isinstance(one, Torn):
@@ -61,58 +61,44 @@
                 yield Hole(f"{one.payload.decode()} steps were not recorded")
             elif one.kind == STEP:
                 try:
-                    yield read_step(one.payload)
+                    yield reader.step(one.payload)
                 except StepError as flaw:
                     yield Hole(str(flaw))
 
-    for _ in steps():
+    for _ in steps(Reader()):
         pass  # steps of a life whose beginning is no longer kept
     while ahead:
-        yield read_life(ahead.pop().payload), steps()
-
-
-class Weights:
-    """By server the weight that all tables together give it, and its mean over time."""
-
-    def __init__(self) -> None:
-        self.lines: dict[Any, dict[int, float]] = {}
-        self.shut: set = set()
-        self.sums: dict[Any, float] = {}
-        self.now: dict[Any, float] = {}
-        self.since: dict[Any, int] = {}
-
-    def take(self, at: int, orders: list) -> None:
-        for order in orders:
-            kind = type(order)
-            if kind is api.SetLine:
-                self.lines.setdefault(order.server, {})[order.table] = order.weight
-            elif kind is api.Withdraw:
-                (self.shut.add if order.on else self.shut.discard)(order.server)
-            else:
-                continue
-            self.settle(order.server, at)
-            open_now = order.server not in self.shut
-            self.now[order.server] = sum(self.lines.get(order.server, {}).values()) if open_now else 0.0
+        life = read_life(ahead.pop().payload)
+        yield life, steps(Reader(life.types))
 
-    def settle(self, server: Any, at: int) -> None:
-        passed = at - self.since.get(server, at)
-        self.sums[server] = self.sums.get(server, 0.0) + passed * self.now.get(server, 0.0)
-        self.since[server] = at
 
-    def means(self, begin: int, end: int) -> dict[Any, float]:
-        for server in list(self.since):
-            self.settle(server, end)
-        return {server: total / max(1, end - begin) for server, total in self.sums.items()}
+def nth(found: Callable[[], Iterable[Any]], number: int) -> tuple[Life, Iterator[Step | Hole]]:
+    """A life of a record by its number, from the end if it is negative. ``LookupError`` if there is none."""
+    many = 0
+    for _, steps in lives(found()):
+        many += 1
+        deque(steps, maxlen=0)
+    if not -many <= number < many:
+        raise LookupError(f"there are {many} lives, none has number {number}")
+    for place, (life, steps) in enumerate(lives(found())):
+        if place == number % many:
+            return life, steps
+        deque(steps, maxlen=0)
+    raise LookupError("the record was cut meanwhile")
 
 
 def play(life: Life, steps: Iterable[Step | Hole], module: Callable[[], Director] = Director,
-         changes: dict[str, Any] | None = None) -> Played:
-    """Feed a life to a fresh module. ``changes``: settings, by the module's names, that are other now."""
+         changes: dict[str, Any] | None = None, replace: dict[str, Any] | None = None,
+         compare: bool = False) -> Played:
+    """Feed a life to a fresh module.
+
+    ``changes``: settings, by the module's names, that are other now; ``replace``: all of them. With
+    ``compare`` the two streams of orders are told in users' terms.
+    """
     director = module()
     count = orders = differing = 0
-    first, hole, begin, end = None, None, life.now, life.now
-    before, after = Counter(), Counter()
-    recorded, replayed = Weights(), Weights()
+    first, hole, end, before = None, None, life.now, None
+    sides: Compare | None = None
     for one in steps:
         if isinstance(one, Hole):
             hole = hole or one
@@ -120,21 +106,20 @@
         if hole is not None:
             continue  # the rest of this life can't be played
         events = one.events
-        if changes and events and type(events[0]) is api.Started:
-            events = [events[0]._replace(settings=events[0].settings | changes), *events[1:]]
+        if events and type(events[0]) is api.Started:
+            old = events[0].settings
+            new = (old if replace is None else replace) | (changes or {})
+            events = [events[0]._replace(settings=new), *events[1:]]
+            sides = Compare(one.now, old, new) if compare else None
         given = director.step(one.now, events)
         count, orders, end = count + 1, orders + len(one.orders), one.now
-        before.update(type(order).__name__ for order in one.orders)
-        after.update(type(order).__name__ for order in given)
-        recorded.take(one.now, one.orders)
-        replayed.take(one.now, given)
+        if sides:
+            sides.take(one.now, one.events, one.orders, given)
         if list(given) != one.orders:
             differing += 1
             if first is None:
                 gone = [order for order in one.orders if order not in given]
                 fresh = [order for order in given if order not in one.orders]
-                first = Difference(count, one.now, events, gone, fresh)
-    ours, theirs = replayed.means(begin, end), recorded.means(begin, end)
-    weights = {server: (theirs.get(server, 0.0), ours.get(server, 0.0))
-               for server in ours.keys() | theirs.keys()}
-    return Played(life, count, orders, differing, first, before, after, weights, hole, end)
+                first = Difference(count, one.now, before.events if before else [], events, gone, fresh)
+        before = one
+    return Played(life, count, orders, differing, first, sides.result() if sides else None, hole, end)
--- a/rainpick/record/steps.py
+++ b/rainpick/record/steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import Any, NamedTuple
 
 import msgspec
@@ -15,7 +16,18 @@
     api.ClearTable, api.Withdraw, api.Mark, api.Bind, api.Admit, api.Probe, api.Tell, api.SetTimer,
     api.Subscribe, api.FetchList, api.Note)
 CODES = {kind: place for place, kind in enumerate(TYPES)}
-LISTED = CODES[api.Listed]
+# What a life says of the types in it: name and fields, by number; the last is an entry of a list.
+SAID = tuple((kind.__name__, *kind._fields) for kind in (*TYPES, api.Server))
+# Records of before the first of December 2026 do not say it: theirs were these.
+UNSAID = tuple(tuple(words.split()) for words in """
+Started seed settings|Listed kind servers version|TimerDue token|ProbeEnded server outcome took_us load
+PeerSaid peer data|ProxyJoined proxy fresh rate zone|ProxyLeft proxy|Applied proxy number took_us
+ServerMet server zone tries dropped mean_us span_us load|ProxyMet proxy route calls dropped span_us
+SliceMet slice route calls dropped span_us|SliceGiven slice on|SliceLine slice server weight
+SetLine table server weight|ClearTable table|Withdraw server on|Mark number everyone|Bind table routes proxy
+Admit table routes level retry|Probe server|Tell peer data|SetTimer token delay_us|Subscribe on|FetchList
+Note text|Server weight zone started_us machine cell address state
+""".strip().replace("\n", "|").split("|"))
 encoder = msgspec.msgpack.Encoder()
 
 
@@ -40,6 +52,7 @@
     wall_us: int
     now: int
     settings: dict[str, Any]  # as the file has them
+    types: tuple[tuple[str, ...], ...] = SAID
 
 
 def write_step(step: Step) -> bytes:
@@ -56,21 +69,53 @@
     return value
 
 
-def read_one(row: list) -> Any:
-    code, *fields = row
-    fields = [solid(field) for field in fields]
-    if code == LISTED:
-        fields[1] = tuple([api.Server(*entry) for entry in fields[1]])
-    return TYPES[code](*fields)
+class Reader:
+    """Reads the steps of a life by the types it says: the interface may have changed since.
+
+    Fields that came since or went are told when such a value is met; values of other types are read as ever.
+    """
+
+    def __init__(self, types: Sequence[Sequence[str]] = SAID):
+        self.places: list[tuple[type | None, str, list[int] | None]] = []
+        known = {kind.__name__: kind for kind in (*TYPES, api.Server)}
+        for name, *fields in types:
+            kind = known.get(name)
+            same = kind is not None and list(kind._fields) == fields
+            try:
+                order = None if same or kind is None else [fields.index(field) for field in kind._fields]
+                self.places.append((kind, name, order))
+            except ValueError:
+                self.places.append((None, name, None))
+
+    def make(self, code: int, fields: Sequence[Any]) -> Any:
+        kind, name, order = self.places[code]
+        if kind is None:
+            raise StepError(f"{name} is not what this program knows by that name")
+        if kind is api.Listed:
+            fields = list(fields)
+            place = order[1] if order else 1
+            fields[place] = tuple([self.make(-1, entry) for entry in fields[place]])
+        return kind(*(fields if order is None else [fields[at] for at in order]))
+
+    def one(self, row: list) -> Any:
+        code, *fields = row
+        return self.make(code, [solid(field) for field in fields])
+
+    def step(self, data: bytes) -> Step:
+        """``StepError`` if the bytes are not a step."""
+        try:
+            now, events, orders = msgspec.msgpack.decode(data)
+            return Step(now, [self.one(row) for row in events], [self.one(row) for row in orders])
+        except (msgspec.MsgspecError, ValueError, TypeError, IndexError) as flaw:
+            raise StepError(str(flaw)) from None
 
 
 def read_step(data: bytes) -> Step:
-    """``StepError`` if the bytes are not a step."""
-    try:
-        now, events, orders = msgspec.msgpack.decode(data)
-        return Step(now, [read_one(row) for row in events], [read_one(row) for row in orders])
-    except (msgspec.MsgspecError, ValueError, TypeError, IndexError) as flaw:
-        raise StepError(str(flaw)) from None
+    """A step that this program wrote; ``StepError`` if the bytes are none."""
+    return NOW.step(data)
+
+
+NOW = Reader()
 
 
 def write_life(life: Life) -> bytes:
@@ -79,6 +124,8 @@
 
 def read_life(data: bytes) -> Life:
     try:
-        return Life(*msgspec.msgpack.decode(data))
+        words = msgspec.msgpack.decode(data)
+        types = words[6] if len(words) > 6 else UNSAID
+        return Life(*words[:6], types=tuple(tuple(row) for row in types))
     except (msgspec.MsgspecError, TypeError) as flaw:
         raise StepError(str(flaw)) from None
--- a/tests/record/test_replay.py
+++ b/tests/record/test_replay.py
@@ -78,10 +78,10 @@
 
 def test_another_setting_is_told_by_its_first_difference_and_by_weights(tmp_path):
     lived(tmp_path)
-    one, = played(tmp_path, changes={"rules.warm_after_us": 12_000_000})
+    one, = played(tmp_path, changes={"rules.warm_after_us": 12_000_000}, compare=True)
     assert one.differing and one.first.recorded and one.first.replayed
-    old, new = one.weights["127.0.0.1", 9009]
-    assert new < old
+    moved = {row.server: row for row in one.compared.moved}
+    assert moved["127.0.0.1:9009"].replayed < moved["127.0.0.1:9009"].recorded
 
 
 def test_a_setting_that_alters_the_very_first_decision(tmp_path):
