--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -603,7 +603,8 @@
             # was back in a second, told in six pieces, and waited for all of its tables' proxies at once. So
             # may warm lines for a table of cold ones: it waited 3 s, and then the other zone was lost.
             for table in dict.fromkeys((*sinks, *cool)):
-                spare = table in reserved or held in warm and table not in cool
+                alone = table in cool and table.number in served  # with cold lines
+                spare = table in reserved or held in warm and not alone
                 self.change(held, 1 + spare, keep_bind if spare else 0, [table])
         # Ramp steps leave a message more: a zone that is back costs several before all its starts are known.
         self.due = [held for held in self.due if self.loose.proxies or not self.change(held, 3, keep)]
