--- a/rainpick/record/exchange.py
+++ b/rainpick/record/exchange.py
@@ -89,7 +89,7 @@
             count += 1
             if count % 500 == 0:
                 log.flush()
-        except (msgspec.MsgspecError, StepError, ValueError, TypeError, KeyError, IndexError) as flaw:
+        except (msgspec.MsgspecError, StepError, ValueError, TypeError, LookupError, RecursionError) as flaw:
             raise ExchangeError(f"line {number}: {type(flaw).__name__}: {flaw}") from None
     log.flush()
     return count
--- a/rainpick/record/page.py
+++ b/rainpick/record/page.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from datetime import UTC, datetime
 from typing import Any
 
@@ -73,7 +74,9 @@
     if mark is not None:
         top = max((value for _, points in lines for _, value in points), default=1.0)
         figure.add("tells until", [(mark, 0), (mark, top)], stroke_style={"dasharray": "4, 4"})
-    return figure.render(is_unicode=True, disable_xml_declaration=True)
+    # The library writes its settings as a script, for tooltips that we do not load.
+    return re.sub(r"<script.*?</script>", "", figure.render(is_unicode=True, disable_xml_declaration=True),
+                  flags=re.DOTALL)
 
 
 def near(found: Any, begin: int) -> str:
--- a/rainpick/standins/day.py
+++ b/rainpick/standins/day.py
@@ -59,6 +59,7 @@
         "proxies": {"count": scenario.proxies, "standing_lines": scenario.standing,
                     "report_every": f"{scenario.report_every}us",
                     "known": [{"match": "edge-*", "rate": scenario.calls_per_s / scenario.proxies}]},
+        "record": {"folder": str(folder / f"record-{number}"), "sync": False},
     }
     for part, values in scenario.settings.items():
         found[part] = {**found.get(part, {}), **values} if isinstance(values, dict) else values
--- /dev/null
+++ b/tests/record/test_compare.py
@@ -0,0 +1,196 @@
+"""What differs is told in users' terms, and what can't be told is said."""
+
+import json
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from rainpick import interface as api
+from rainpick.cli import main
+from rainpick.record import inspect
+from rainpick.record.compare import POINTS, Compare, Series
+from rainpick.record.load import ModuleError, changes, module
+from rainpick.record.replay import lives, nth, play
+from rainpick.record.view import View
+from rainpick.store import read
+from tests.record.test_replay import lived
+
+SAMPLES = Path(__file__).parent / "samples"
+ONE, TWO = ("10.0.0.1", 1), ("10.0.0.1", 2)
+WORDS = {"proxies.pending_max": 100, "proxies.pushes_allowed": 4, "proxies.counted_over_us": 10_000_000,
+         "rules.drain_grace_us": 2_000_000, "rules.warm_after_us": 10_000_000, "rules.start_capacity": 0.2}
+
+
+def entry(address, state=api.READY, started_us=0, weight=1.0):
+    return api.Server(weight, 0, started_us, 0, 0, address, state)
+
+
+def view():
+    one = View(WORDS)
+    one.hear(0, [api.Listed(api.CACHED, (entry(ONE), entry(TWO)), 1), api.ProxyJoined(7, True, 1.0, 0)])
+    one.take(0, [api.SetLine(0, ONE, 1.0), api.SetLine(0, TWO, 1.0), api.Bind(0, 1, 7), api.Mark(1, False)])
+    return one
+
+
+def test_a_view_counts_what_users_ask_for():
+    one = view()
+    one.hear(1_000_000, [api.Applied(7, 1, 5), api.Listed(api.DELTA, (entry(ONE, api.DRAINING),), 2)])
+    one.take(2_000_000, [api.Withdraw(ONE, True), api.Mark(2, False)])
+    assert one.nearest["drain"].part == 0.5 and one.nearest["drain"].who == "10.0.0.1:1"
+    one.take(2_500_000, [api.Withdraw(TWO, True), api.Mark(3, False)])
+    one.take(2_700_000, [api.Withdraw(TWO, False), api.SetLine(0, TWO, 0.25), api.Mark(4, False)])
+    one.hear(2_800_000, [])
+    one.take(2_800_000, [api.SetLine(0, TWO, 0.5), api.Admit(0, 1, 20.0, api.NO_RETRY), api.Mark(5, False)])
+    one.hear(5_800_000, [])
+    found = one.counts
+    assert (found["ejections"], found["returns"], found["drains and losses told"]) == (1, 1, 1)
+    assert (found["lines laid"], found["weights lowered"], found["weights raised"]) == (2, 1, 1)
+    assert found["messages"] == 5 and found["throttled further"] == 1 and one.throttled_us == 3_000_000
+    assert one.nearest["messages"].part == 5 / 4 and one.nearest["queue"].part == one.waiting / 100 > 0
+
+
+def test_a_cold_server_is_measured_by_what_it_surely_can_do():
+    one = view()
+    one.hear(20_000_000, [api.Listed(api.DELTA, (entry(TWO, started_us=20_000_000),), 2)])
+    one.take(20_000_000, [])
+    assert one.nearest["cold"].part == pytest.approx(5.0)  # full weight, and it can do a fifth
+    one.take(20_000_000, [api.SetLine(0, TWO, 0.1)])
+    assert one.nearest["cold"].part == pytest.approx(5.0)
+
+
+def test_a_drain_told_table_by_table_is_told_with_the_last():
+    one = view()
+    one.take(0, [api.SetLine(1, ONE, 1.0)])
+    one.hear(0, [api.Listed(api.DELTA, (entry(ONE, api.DRAINING),), 2)])
+    one.take(500_000, [api.SetLine(0, ONE, 0.0)])
+    assert "drain" not in one.nearest
+    one.take(1_000_000, [api.SetLine(1, ONE, 0.0)])
+    assert one.nearest["drain"].part == 0.5
+
+
+def test_shares_are_of_calls_and_follow_the_proxies():
+    one = view()
+    assert one.shares() == {ONE: 0.5, TWO: 0.5}
+    one.take(1, [api.SetLine(0, ONE, 3.0)])
+    assert one.shares() == {ONE: 0.75, TWO: 0.25}
+    one.take(2, [api.Withdraw(ONE, True)])
+    assert one.shares() == {TWO: 1.0}
+    one.hear(3, [api.ProxyLeft(7)])
+    assert one.shares() == {}
+
+
+def test_where_the_two_part_too_far_the_replay_says_that_it_no_longer_tells():
+    both = Compare(0, WORDS, WORDS)
+    first = [api.SetLine(0, ONE, 1.0), api.SetLine(0, TWO, 1.0), api.Bind(0, 1, 7), api.Mark(1, False)]
+    both.take(0, [api.ProxyJoined(7, True, 1.0, 0)], first, first)
+    for second in range(1, 20):
+        both.take(second * 1_000_000, [], [], [])
+    assert both.result().tells_until_s is None
+    both.take(20_000_000, [], [], [api.Withdraw(ONE, True)])
+    for second in range(21, 40):
+        both.take(second * 1_000_000, [], [], [])
+    found = both.result()
+    # Half of the calls go elsewhere: over a fifth of ten seconds from the fifth such second on.
+    assert found.tells_until_s == 24 and 0.2 < found.parted < 0.3
+    assert {row.server for row in found.moved} == {"10.0.0.1:1", "10.0.0.1:2"}
+
+
+def test_series_keep_their_size_and_their_means_however_long_the_day():
+    series = Series(0)
+    for second in range(10_000):
+        series.add(second * 1_000_000, second % 2)
+    points = series.points()
+    assert POINTS <= len(points) <= 2 * POINTS and all(value == 0.5 for _, value in points)
+
+
+def test_a_record_of_before_types_were_said_is_read_and_replays():
+    one, = [play(life, steps) for life, steps in lives(read(SAMPLES / "without-types"))]
+    assert one.steps == 78 and one.differing == 0 and one.hole is None
+
+
+def test_another_text_of_the_module_is_told_by_what_it_does(tmp_path):
+    lived(tmp_path / "day")
+    text = Path(__file__).parents[2] / "rainpick" / "balance.py"
+    (tmp_path / "slow.py").write_text(text.read_text().replace(" = 4, 1.6, 0.6", " = 10**9, 1.6, 0.6"))
+    one, = [play(life, steps, module(tmp_path / "slow.py"), compare=True)
+            for life, steps in lives(read(tmp_path / "day"))]
+    assert one.differing and one.compared.counts["lines"][0] != one.compared.counts["lines"][1]
+    same, = [play(life, steps, module(text)) for life, steps in lives(read(tmp_path / "day"))]
+    assert same.differing == 0
+    for words, why in (("x = 1\n", "has no Director"), ("1 / 0\n", "ZeroDivisionError"),
+                       ("(", "SyntaxError")):
+        (tmp_path / "bad.py").write_text(words)
+        with pytest.raises(ModuleError, match=why):
+            module(tmp_path / "bad.py")
+
+
+def test_changes_are_json_or_text_and_have_a_name():
+    assert changes(["a=1", "b=x", 'c="1"', "d=[1, 2]"]) == {"a": 1, "b": "x", "c": "1", "d": [1, 2]}
+    for word in ("a", "=1"):
+        with pytest.raises(ValueError, match="NAME=VALUE"):
+            changes([word])
+
+
+def test_each_factor_of_a_weight_is_told_and_their_product_is_the_weight(tmp_path):
+    lived(tmp_path)
+    life, steps = nth(lambda: read(tmp_path), -1)
+    director = inspect.reach(life, steps, life.now + 6_000_000)
+    before = {address: vars(held).copy() for address, held in director.servers.items()}
+    for address, held in director.servers.items():
+        found = inspect.server(director, f"{address[0]}:{address[1]}")
+        product = 1.0
+        for _, times in found["because"]:
+            product *= times
+        assert product == pytest.approx(found["percentage"]) == pytest.approx(director.percentage(held))
+    cold = dict(inspect.server(director, "127.0.0.1:9009")["because"])
+    assert 0 < cold["it has just started"] < 1 and cold["the server is eased"] == 1.0
+    assert dict(inspect.server(director, "127.0.0.1:9001")["because"])["its state on the list"] == 0.0
+    # Asking leaves no trace.
+    assert all(vars(held) == before[address] for address, held in director.servers.items())
+
+
+def test_inspection_reaches_the_moment_asked_for_and_no_later(tmp_path):
+    lived(tmp_path)
+    seconds = []
+    for until in (1, 3, 5):
+        life, steps = nth(lambda: read(tmp_path), 0)
+        director = inspect.reach(life, steps, life.now + until * 1_000_000)
+        seconds.append((director.now - life.now) / 1e6)
+    assert seconds == sorted(seconds) and seconds[0] <= 1 and seconds[1] <= 3 and seconds[2] <= 5
+    fleet = inspect.fleet(director)
+    assert fleet["proxies"] == 4 and fleet["servers"]["ready"] >= 2
+    assert inspect.table(director, 0)["told"] and inspect.proxy(director, 1)["table"] == 0
+
+
+@pytest.mark.parametrize("words, why", [
+    (("--inspect", "server=nowhere:1"), "no server 'nowhere:1' is held; there are 127.0.0.1:9000"),
+    (("--inspect", "table=99"), "there is no table 99"),
+    (("--inspect", "proxy=55"), "proxy 55 has not joined"), (("--inspect", "moon"), "'moon' is not fleet"),
+    (("--inspect", "fleet", "--life", "4"), "there are 1 lives"),
+    (("--inspect", "fleet", "--until", "-1"), "nothing was recorded before"), (("--set", "a"), "NAME=VALUE"),
+    (("--module", "/nowhere.py"), "nowhere.py")])
+def test_what_is_asked_wrongly_is_told_in_a_line(tmp_path, words, why):
+    lived(tmp_path)
+    found = CliRunner().invoke(main, ["replay", str(tmp_path), *words])
+    assert found.exit_code == 2 and why in found.output
+
+
+def test_the_page_holds_charts_and_is_whole(tmp_path):
+    lived(tmp_path / "day")
+    page = tmp_path / "page.html"
+    words = ["replay", str(tmp_path / "day"), "--set", "rules.warm_after_us=20000000", "--html", str(page)]
+    assert CliRunner().invoke(main, words).exit_code == 1
+    text = page.read_text()
+    assert text.count("<svg") >= 3 and "Calls that would go elsewhere" in text
+    assert "127.0.0.1:9009" in text
+    assert not [word for word in ("<script", " src=", "href=", "@import", "url(") if word in text]
+
+
+def test_a_settings_file_takes_the_place_of_the_recorded_settings(tmp_path):
+    lived(tmp_path / "day")
+    path = tmp_path / "s.json5"
+    path.write_text('{routes: [{name: "lookup", slo_time: "500ms", time_limit: "2s"}], zones: ["a", "b"], '
+                    'machines: ["x", "y"], rules: {warm_after: "20s"}, proxies: {count: 1}}')
+    found = CliRunner().invoke(main, ["replay", str(tmp_path / "day"), "--settings", str(path), "--json"])
+    assert found.exit_code == 1 and json.loads(found.output)[0]["first"]["instead"]
--- /dev/null
+++ b/tests/record/test_exchange.py
@@ -0,0 +1,171 @@
+"""Exports come back as they went; what is no export leaves nothing behind. Two records on one clock."""
+
+import errno
+
+import pytest
+from click.testing import CliRunner
+
+from rainpick import interface as api
+from rainpick.cli import main
+from rainpick.record.clock import reports_by_time, together, written
+from rainpick.record.exchange import ExchangeError, import_file, write
+from rainpick.record.recorder import Recorder
+from rainpick.record.replay import Hole, lives, play
+from rainpick.record.steps import (
+    LIFE,
+    LOST,
+    SAID,
+    STEP,
+    Life,
+    Reader,
+    Step,
+    StepError,
+    write_life,
+    write_step,
+)
+from rainpick.store import Log, Record, read
+from tests.loopback.help import until
+from tests.record.test_replay import LIFE_, lived
+
+
+def records(folder):
+    return [one for one in read(folder) if isinstance(one, Record)]
+
+
+def test_an_export_comes_back_byte_for_byte_and_replays(tmp_path):
+    lived(tmp_path / "day")
+    log = Log(tmp_path / "day", sync=False)
+    log.append(5, LOST, b"3")
+    rest = [api.Tell(None, b"x"), api.FetchList()]
+    log.append(6, STEP, write_step(Step(7, [api.PeerSaid(1, b"\x00\xff")], rest)))
+    log.close()
+    out = tmp_path / "day.jsonl"
+    assert CliRunner().invoke(main, ["record", "export", str(tmp_path / "day"), str(out)]).exit_code == 0
+    found = CliRunner().invoke(main, ["record", "import", str(out), str(tmp_path / "back")])
+    assert found.exit_code == 0, found.output
+    assert records(tmp_path / "back") == records(tmp_path / "day")
+
+
+@pytest.mark.parametrize("spoil, why", [
+    (lambda rows: rows[1:], "line 1: .*begins with the form"),
+    (lambda rows: [rows[0], rows[1], b'{"t": 1}\n'], "line 3: KeyError"),
+    (lambda rows: [*rows[:3], b"{\n"], "line 4"),
+    (lambda rows: [rows[0], b'{"t":1,"now":2,"events":[["Moon",1]],"orders":[]}\n'], "line 2: .*'Moon'"),
+    (lambda rows: [rows[0], b"[" * 9000 + b"\n"], "line 2"),
+])
+def test_what_is_no_export_is_told_by_its_line_and_leaves_nothing(tmp_path, spoil, why):
+    lived(tmp_path / "day")
+    rows = list(write(read(tmp_path / "day")))
+    (tmp_path / "bad").write_bytes(b"".join(spoil(rows)))
+    with pytest.raises(ExchangeError, match=why):
+        import_file(tmp_path / "bad", tmp_path / "back")
+    assert not list((tmp_path / "back").glob("*.seg"))
+
+
+def test_an_import_never_goes_into_a_record_that_is_there(tmp_path):
+    lived(tmp_path / "day")
+    (tmp_path / "out").write_bytes(b"".join(write(read(tmp_path / "day"))))
+    before = records(tmp_path / "day")
+    with pytest.raises(ExchangeError, match="holds a record already"):
+        import_file(tmp_path / "out", tmp_path / "day")
+    assert records(tmp_path / "day") == before
+
+
+def put(folder, wall_us, *steps, director=0):
+    log = Log(folder, sync=False)
+    log.append(wall_us, LIFE, write_life(Life(director, "e", "m", wall_us, 0, {})))
+    for step in steps:
+        log.append(wall_us + step.now, STEP, write_step(step))
+    log.close()
+
+
+def ticks(*times):
+    return [Step(now, [api.TimerDue(0)], []) for now in times]
+
+
+def test_two_records_are_shown_on_one_clock_each_in_its_own_order(tmp_path):
+    put(tmp_path / "a", 1_000, *ticks(0, 10, 20))
+    put(tmp_path / "b", 1_005, *ticks(0, 10, 20), director=1)
+    found = [(one.wall_us, one.life.director) for one in together([tmp_path / "a", tmp_path / "b"])]
+    assert found == [(1_000, 0), (1_005, 1), (1_010, 0), (1_015, 1), (1_020, 0), (1_025, 1)]
+
+
+def test_a_wall_clock_set_back_between_lives_does_not_stir_a_record(tmp_path):
+    put(tmp_path / "a", 5_000, *ticks(0, 10))
+    put(tmp_path / "a", 1_000, *ticks(0, 10))
+    put(tmp_path / "b", 5_005, *ticks(0, 100), director=1)
+    found = list(together([tmp_path / "a", tmp_path / "b"]))
+    assert [one.place for one in found if one.record == 0] == [1, 2, 3, 4]
+    assert [one.wall_us for one in written(tmp_path / "a")] == [5_000, 5_010, 1_000, 1_010]
+
+
+def met(span_us):
+    return api.ServerMet(("10.0.0.1", 1), 0, 3, 0, 5, span_us, ())
+
+
+def test_reports_heard_out_of_order_are_told_with_both_places():
+    steps = [Step(10_000_000, [met(1_000_000)], []), Step(11_000_000, [met(8_000_000)], []),
+             Step(12_000_000, [met(1_000_000), met(1_000_000)], [])]
+    found = [(placed, heard, late.began_us) for placed, heard, late in reports_by_time(iter(steps))]
+    assert found == [(1, 2, 3_000_000), (2, 1, 9_000_000), (3, 3, 11_000_000), (4, 4, 11_000_000)]
+
+
+def test_a_record_of_another_interface_is_read_by_names():
+    """A field that moved is found, one that is not known any more is no harm, one that is missing is told."""
+    moved = [list(row) for row in SAID]
+    place = next(at for at, row in enumerate(moved) if row[0] == "Withdraw")
+    moved[place] = ["Withdraw", "why", "on", "server"]
+    reader = Reader(moved)
+    assert reader.one([place, "x", True, ["h", 1]]) == api.Withdraw(("h", 1), True)
+    moved[place] = ["Withdraw", "server"]
+    with pytest.raises(StepError, match="Withdraw"):
+        Reader(moved).one([place, ["h", 1]])
+    listed = next(at for at, row in enumerate(moved) if row[0] == "Listed")
+    moved[listed] = ["Listed", "version", "servers", "kind"]
+    moved[-1] = ["Server", "address", "state", "weight", "zone", "started_us", "machine", "cell"]
+    found = Reader(moved).one([listed, 4, [[["h", 1], 1, 2.0, 0, 0, 0, 0]], 1])
+    assert found == api.Listed(1, (api.Server(2.0, 0, 0, 0, 0, ("h", 1), 1),), 4)
+
+
+def test_a_segment_missing_in_the_middle_is_a_hole_and_the_next_life_is_played(tmp_path):
+    log = Log(tmp_path, segment_most=600, sync=False)
+    log.append(1, LIFE, write_life(LIFE_))
+    for number in range(40):
+        step = Step(number, [api.Started(7, {})] if not number else [api.TimerDue(0)], [])
+        log.append(number, STEP, write_step(step))
+        log.flush()
+    log.close()
+    lived(tmp_path)
+    parts = sorted(tmp_path.glob("*.seg"))
+    assert len(parts) > 4
+    parts[2].unlink()
+    found = [play(life, steps) for life, steps in lives(read(tmp_path))]
+    assert len(found) == 2 and "gap" in found[0].hole.why and found[0].steps < 40
+    assert found[1].hole is None and found[1].differing == 0
+    verify = CliRunner().invoke(main, ["record", "verify", str(tmp_path)])
+    assert verify.exit_code == 1 and "gap: first=3 last=3" in verify.output
+
+
+def test_a_disk_full_in_mid_block_loses_that_block_and_says_so(tmp_path):
+    """The core goes on, what is lost is counted, and the replay of that life ends at the hole."""
+    recorder = Recorder(tmp_path, LIFE_, 1 << 20, 0, 0, False)
+    recorder.step(1, [api.TimerDue(1)], [])
+    until(lambda: recorder.store.written >= 1)
+    whole = recorder.store.write
+
+    def half(data):
+        recorder.store.file.write(data[:len(data) // 2])
+        raise OSError(errno.ENOSPC, "No space left on device")
+
+    recorder.store.write = half
+    for now in range(2, 12):
+        recorder.step(now, [api.TimerDue(now)], [])
+    until(lambda: recorder.lost >= 10)
+    recorder.store.write = whole
+    recorder.step(50, [api.TimerDue(50)], [])
+    recorder.close()
+    (_, steps), = lives(read(tmp_path))
+    found = list(steps)
+    assert [one.now for one in found if isinstance(one, Step)] == [1, 50]
+    assert [one for one in found if isinstance(one, Hole)] == [Hole("10 steps were not recorded")]
+    assert all(isinstance(one, Record) for one in read(tmp_path))
