sasp weights waits a moment for advice that is not empty

Cause: who has just joined has no table until the decisions' next step, so the command printed nothing at times, and a test of it failed under load. Change: it asks again for up to two seconds while the answer is empty.

--- a/rainpick/cli/show.py
+++ b/rainpick/cli/show.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import time
 from collections import defaultdict
 from collections.abc import Callable
 from datetime import UTC, datetime
@@ -19,6 +20,7 @@
 from rainpick.standins.sasp_client import SaspClient
 
 console = Console(highlight=False)
+FIRST_S = 2.0  # how long advice is waited for that is not empty
 BARS = " ▁▂▃▄▅▆▇█"
 
 
@@ -75,7 +77,12 @@
             if reply.code != codec.SUCCESS:
                 raise ConnectionAbortedError(f"{type(message).__name__} is refused: {reply.code:#04x}")
         if not follow:
+            # Who has just joined has no table yet: it comes with the decisions' next step.
+            until = time.monotonic() + FIRST_S
             reply = client.ask(codec.GetWeights((mine,)))
+            while not any(group.entries for group in reply.groups) and time.monotonic() < until:
+                time.sleep(0.05)
+                reply = client.ask(codec.GetWeights((mine,)))
             show_weights(reply.groups, as_json)
             return
         while True:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -11,7 +11,7 @@
 
 from rainpick.cli import main
 from rainpick.standins.day import free_ports
-from tests.loopback.help import MemberEnd, ProxyEnd, running, until
+from tests.loopback.help import MemberEnd, ProxyEnd, running
 
 GOOD = '{routes: [{name: "a", slo_time: "1s", time_limit: "2s"}]}'
 
@@ -58,7 +58,7 @@
         assert [server["state"] for server in found["servers"]] == ["ready", "ready"]
         assert "127.0.0.1:9001" in run("status", "--at", place).output
         words = "sasp", "weights", "--at", "%s:%d" % daemon.sasp, "--uid", "me"
-        rows = until(lambda: json.loads(run(*words, "--json").stdout))
+        rows = json.loads(run(*words, "--json").stdout)
         assert {row["server"][-4:]: row["weight"] for row in rows} == {"9001": 4096, "9002": 4096}
         assert "contact" in run(*words).output
 
