--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -624,9 +624,9 @@
             if table.used and (weight := self.weight(held, table)):
                 told[table.number] = weight
         if needy is not None and not held.shut:
-            rest = held.told.keys() - {table.number for table in needy}
-            told = {number: weight for number, weight in told.items() if number not in rest}
-            told |= {number: held.told[number] for number in rest}
+            mine = {table.number for table in needy}
+            told = {number: weight for number, weight in told.items() if number in mine}
+            told |= {number: weight for number, weight in held.told.items() if number not in mine}
         stale = [table for table in held.tables if told.get(table.number) != held.told.get(table.number)]
         if not held.part and not (gone and held.shut) or not stale and (gone or not held.shut):
             return True
