--- a/rainpick/record/compare.py
+++ b/rainpick/record/compare.py
@@ -92,10 +92,13 @@
     def take(self, now: int, events: list, recorded: list, replayed: list) -> None:
         one, other = self.sides
         if one is other and list(replayed) != list(recorded):
-            self.sides = one, other = one, copy.deepcopy(one)
-        for view, orders in ((one, recorded), (other, replayed))[:1 + (one is not other)]:
-            view.hear(now, events)
-            view.take(now, orders)
+            other = copy.deepcopy(one)
+            self.sides = one, other
+        one.hear(now, events)
+        one.take(now, recorded)
+        if other is not one:
+            other.hear(now, events)
+            other.take(now, replayed)
         # Once a second is enough: proxies are told weights some times a tick at most.
         if now - self.looked_us >= 1_000_000:
             self.look(now)
--- a/rainpick/record/view.py
+++ b/rainpick/record/view.py
@@ -25,7 +25,7 @@
 class Server:
     """What is known of a server, and what proxies were told of it."""
 
-    __slots__ = ("drained_us", "entry", "lines", "shut", "told_us")
+    __slots__ = ("drained_us", "entry", "lines", "shut")
 
     def __init__(self) -> None:
         self.entry: api.Server | None = None
@@ -38,7 +38,7 @@
 
 
 class Proxy:
-    __slots__ = ("loose", "sent", "table", "unread")
+    __slots__ = ("sent", "table", "unread")
 
     def __init__(self) -> None:
         self.table: int | None = None
