--- a/rainpick/emulator/world.py
+++ b/rainpick/emulator/world.py
@@ -1,7 +1,8 @@
 """A fleet in virtual time around one engine, the very one that the daemon drives: nothing of it is copied.
 
-Members are listed, proxies join and are written to over links with a delay, clients call with Poisson arrivals
-and repeat what was not answered, reports come in rounds of so many lines a second, as late as they would.
+Members are listed, proxies join and are written to over links with a delay, clients call with Poisson
+arrivals and repeat what was not answered, reports come in rounds of so many lines a second, as late as they
+would.
 """
 
 from __future__ import annotations
--- a/tests/emulator/test_world.py
+++ b/tests/emulator/test_world.py
@@ -8,6 +8,7 @@
 
 from rainpick import interface as api
 from rainpick.balance import Director
+from rainpick.director.tables import OPEN, SHUT, Line
 from rainpick.emulator.chance import Chance
 from rainpick.emulator.proxy import Proxy
 from rainpick.emulator.server import Kind
@@ -116,7 +117,7 @@
 def test_the_wheel_gives_each_its_weight_exactly_and_the_lots_nearly():
     for how, room in (("wheel", 0), ("lottery", 120)):
         proxy = Proxy(0, 0, how, Chance(1, "p"))
-        proxy.lines = {("a", 1): 3, ("a", 2): 1, ("a", 3): 0}
+        proxy.read([Line(("a", 1), 3, OPEN), Line(("a", 2), 1, OPEN), Line(("a", 3), 0, SHUT)])
         picked = [proxy.pick() for _ in range(4_000)]
         assert abs(picked.count(("a", 1)) - 3_000) <= room and picked.count(("a", 3)) == 0
     assert proxy.pick([("a", 1), ("a", 2)]) is None
