Tables that nobody uses are not tried at every step; the decisions are the same

Cause: each step tried each warm server on each unused table, work in the hottest path that could do nothing. Change: they are left out, and servers that get nothing with them.

--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -595,8 +595,10 @@
                 table.said.update(self.let_in)
         self.bind(keep_bind)  # before the rest, as what a loose proxy holds may have drained meanwhile
         # Cold servers must not wait for the tick to get much less, nor, on a table alone, for warm ones.
-        for held in self.servers.values():
-            cool = [table for table in held.tables if table.number not in heated] if held in warm else ()
+        for held in [held for held in self.servers.values() if held.part]:
+            # A table that nobody uses has nothing to be told of a server that is not to be readmitted.
+            cool = [table for table in held.tables if table.number not in heated
+                    and (table.used or held.shut)] if held in warm else ()
             sinks = [table for table in held.tables if not held.shut
                      and held.told.get(table.number, 0.0) > 1.5 * self.weight(held, table)]
             # They may use what is kept for drains, all in one message, and each table as it can: half a zone
