--- a/rainpick/emulator/proxy.py
+++ b/rainpick/emulator/proxy.py
@@ -25,7 +25,6 @@
         self.wheel: dict[Key, float] = {}
         self.met: dict[Key, list[int]] = {}  # since the last report: tries, dropped, microseconds
         self.calls = 0
-        self.level: float | None = None
 
     def read(self, lines: Iterable[Line]) -> None:
         self.drawn = None
--- a/rainpick/emulator/server.py
+++ b/rainpick/emulator/server.py
@@ -33,11 +33,10 @@
 class Call:
     """A try under way at a server."""
 
-    __slots__ = ("done", "left", "started", "ticket")
+    __slots__ = ("done", "left", "ticket")
 
     def __init__(self, work: float, done: Done):
-        self.left, self.done = work, done
-        self.started, self.ticket = False, 0
+        self.left, self.done, self.ticket = work, done, 0
 
 
 class Server:
@@ -50,7 +49,7 @@
         self.working: set[Call] = set()
         self.shared: list[tuple[float, int, Call]] = []  # by when, in work a call, each is ready
         self.given = 0.0  # work that each sharing call has got since the beginning
-        self.seen_us, self.turn, self.count = heap.now, 0, 0
+        self.seen_us, self.count = heap.now, 0
         self.ready: int | None = None  # the ticket of the next that is ready
 
     # How fast
--- a/rainpick/record/exchange.py
+++ b/rainpick/record/exchange.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from rainpick.record.steps import (
+    CODES,
     LIFE,
     LOST,
     STEP,
@@ -26,6 +27,7 @@
 FORM = "rainpick-record-1"
 LINE_MOST = 16 << 20  # bytes of a line that is read
 BYTES = {"PeerSaid": 1, "Tell": 1}  # which field of them is bytes
+NUMBERS = {kind.__name__: code for kind, code in CODES.items()}
 json = msgspec.json.Encoder()
 
 
@@ -53,17 +55,16 @@
             yield json.encode({"t": one.time_us, "now": step.now} | rows) + b"\n"
 
 
-def row(words: list, reader: Reader, codes: dict[str, int]) -> Any:
+def row(words: list, reader: Reader) -> Any:
     name, *fields = words
     if name in BYTES:
         fields[BYTES[name]] = base64.b64decode(fields[BYTES[name]])
-    return reader.one([codes[name], *fields])
+    return reader.one([NUMBERS[name], *fields])
 
 
 def read(lines: Iterable[bytes], log: Log) -> int:
     """Put an export into an empty store; how many records. ``ExchangeError`` names the line that is wrong."""
     reader = Reader()
-    codes = {name: code for code, (_, name, _) in enumerate(reader.places)}
     count, lost = 0, 0
     for number, line in enumerate(lines, 1):
         try:
@@ -84,7 +85,7 @@
             elif "lost" in words:
                 log.append(words["t"], LOST, b"%d" % words["lost"])
             else:
-                parts = [[row(each, reader, codes) for each in words[name]] for name in ("events", "orders")]
+                parts = [[row(each, reader) for each in words[name]] for name in ("events", "orders")]
                 log.append(words["t"], STEP, write_step(Step(words["now"], *parts)))
             count += 1
             if count % 500 == 0:
