--- a/rainpick/cli/main.py
+++ b/rainpick/cli/main.py
@@ -350,29 +350,34 @@
 
 
 @main.command()
-@click.argument("folder", type=click.Path(file_okay=False, exists=True))
+@click.argument("folders", nargs=-1, required=True, type=click.Path(file_okay=False, exists=True))
 @click.option("--set", "changes", multiple=True, metavar="NAME=VALUE",
               help="Another setting for the decisions, by the module's name; may be given again.")
 @click.option("--settings", "file", type=CONFIG, help="Another settings file, in place of the recorded one.")
 @click.option("--module", "text", type=CONFIG, help="Another text of the module; it is run as it stands.")
 @click.option("--until", "end", type=float, metavar="SECOND",
-              help="With --inspect: seconds from the life's begin.")
+              help="With --inspect: seconds from the life's begin; of several records, from the first.")
 @click.option("--inspect", "what", metavar="WHAT", help="fleet, server=HOST:PORT, table=N or proxy=N.")
-@click.option("--life", "number", type=int, default=-1, help="With --inspect: which, from 0; else the last.")
+@click.option("--life", "number", type=int, default=-1,
+              help="With --inspect of one record: which, from 0; else the last.")
 @click.option("--html", type=click.Path(dir_okay=False), help="Write the report as a page with charts.")
 @click.option("--json", "as_json", is_flag=True, help="As JSON.")
 @plain_errors
-def replay(folder: str, changes: tuple[str, ...], file: str | None, text: str | None, end: float | None,
-           what: str | None, number: int, html: str | None, as_json: bool) -> None:
-    """Feed a recorded day to the decisions again: 0 if every order is the same, 1 if not."""
+def replay(folders: tuple[str, ...], changes: tuple[str, ...], file: str | None, text: str | None,
+           end: float | None, what: str | None, number: int, html: str | None, as_json: bool) -> None:
+    """Feed recorded days to the decisions again: 0 if every order is the same, 1 if not.
+
+    Several directors' records of a day are played side by side on the wall's clock.
+    """
     from rainpick.cli import show
+    from rainpick.record.clock import play_together
     from rainpick.record.load import ModuleError, module
     from rainpick.record.load import changes as read_changes
-    from rainpick.record.replay import Director, lives, play
+    from rainpick.record.replay import Director
     from rainpick.settings import Settings
     from rainpick.settings.plain import plain_map
-    from rainpick.store import read
 
+    places = [Path(folder) for folder in folders]
     try:
         words = read_changes(list(changes))
         director = module(Path(text)) if text else Director
@@ -380,16 +385,15 @@
         raise click.BadParameter(str(flaw)) from None
     replace = plain_map(load(file, Settings)) if file else None
     if what:
-        sys.exit(show.inspect(Path(folder), what, end, number, director, as_json))
-    found = [play(life, steps, director, words, replace, compare=True)
-             for life, steps in lives(read(Path(folder)))]
+        sys.exit(show.inspect(places, what, end, number, director, as_json))
+    found = play_together(places, director, words, replace, compare=True)
     if not found:
-        click.echo(f"rainpick: {folder} holds no life of a director", err=True)
+        click.echo(f"rainpick: no life of a director is in {', '.join(folders)}", err=True)
         sys.exit(2)
     if html:
         from rainpick.record.page import page
 
-        Path(html).write_text(page(f"Replay of {Path(folder).name}", found))
+        Path(html).write_text(page("Replay of " + ", ".join(place.name for place in places), found))
     show.replays(found, as_json)
     sys.exit(1 if any(one.differing or one.hole for one in found) else 0)
 
--- a/rainpick/cli/show.py
+++ b/rainpick/cli/show.py
@@ -264,33 +264,31 @@
                            f"after its begin: {late.event}")
 
 
-def inspect(folder: Path, what: str, end: float | None, number: int, module: Any, as_json: bool) -> int:
-    """What a director held at a moment. 0, or 2 if there is no such thing or moment."""
+def inspect(folders: list[Path], what: str, end: float | None, number: int, module: Any,
+            as_json: bool) -> int:
+    """What directors held at a moment. 0, or 2 if there is no such thing or moment."""
     from rainpick.record import inspect as look
+    from rainpick.record.clock import reach_together
     from rainpick.record.replay import nth
     from rainpick.store import read
 
-    kind, _, name = what.partition("=")
     try:
-        life, steps = nth(lambda: read(folder), number)
-        until = 1 << 62 if end is None else life.now + int(end * 1e6)
-        director = look.reach(life, steps, until, module)
-        if kind == "fleet":
-            found = look.fleet(director)
-        elif kind == "server":
-            found = look.server(director, name)
-        elif kind in ("table", "proxy") and name.isdecimal():
-            found = (look.table if kind == "table" else look.proxy)(director, int(name))
+        if len(folders) == 1:
+            life, steps = nth(lambda: read(folders[0]), number)
+            until = 1 << 62 if end is None else life.now + int(end * 1e6)
+            rows = [(life, look.reach(life, steps, until, module))]
         else:
-            raise look.InspectError(f"{what!r} is not fleet, server=HOST:PORT, table=N or proxy=N")
+            rows = [(one.life, look.whole(one)) for one in reach_together(folders, end, module)]
+        found = [look.asked_for(director, what) for _, director in rows]
     except LookupError as flaw:
         click.echo(f"rainpick: {flaw}", err=True)
         return 2
     if as_json:
-        click.echo(json.dumps(found))
+        click.echo(json.dumps(found[0] if len(folders) == 1 else found))
         return 0
-    click.echo(f"{(director.now - life.now) / 1e6:.3f} s after the begin of director {life.director}")
-    lines_of(found, "")
+    for (life, director), one in zip(rows, found, strict=True):
+        click.echo(f"{(director.now - life.now) / 1e6:.3f} s after the begin of director {life.director}")
+        lines_of(one, "")
     return 0
 
 
--- a/rainpick/record/compare.py
+++ b/rainpick/record/compare.py
@@ -107,7 +107,7 @@
         self.looked_us = now
         old = self.sides[0].shares()
         new = old if self.sides[0] is self.sides[1] else self.sides[1].shares()
-        every = old.keys() | new.keys()
+        every = dict.fromkeys((*old, *new))  # not a set: sums must not hang on a hash seed
         apart = sum(abs(old.get(server, 0.0) - new.get(server, 0.0)) for server in every) / 2
         self.looks, self.apart = self.looks + 1, self.apart + apart
         self.parting.add(now, apart)
--- a/rainpick/record/inspect.py
+++ b/rainpick/record/inspect.py
@@ -12,7 +12,7 @@
 
 from rainpick.balance import Director
 from rainpick.interface import DRAINING, GONE, READY
-from rainpick.record.replay import Hole
+from rainpick.record.replay import Hole, Playing
 from rainpick.record.steps import Life, Step
 from rainpick.record.view import named
 
@@ -33,17 +33,33 @@
 def reach(life: Life, steps: Iterable[Step | Hole], until_us: int,
           module: Callable[[], Director] = Director) -> Director:
     """The module as it was after the last step at or before ``until_us``, by the director's clock."""
-    director, done = module(), False
+    playing = Playing(life, module)
     for step in steps:
-        if isinstance(step, Hole):
-            raise InspectError(f"steps are missing before that moment: {step.why}")
-        if step.now > until_us:
+        if isinstance(step, Step) and step.now > until_us:
             break
-        director.step(step.now, step.events)
-        done = True
-    if not done:
+        playing.take(step)
+    if not playing.steps and playing.hole is None:
         raise InspectError("nothing was recorded before that moment")
-    return director
+    return whole(playing)
+
+
+def whole(playing: Playing) -> Director:
+    """The module of a life that was played without a hole."""
+    if playing.hole is not None:
+        raise InspectError(f"steps are missing before that moment: {playing.hole.why}")
+    return playing.director
+
+
+def asked_for(director: Director, words: str) -> dict[str, Any]:
+    """``fleet``, ``server=HOST:PORT``, ``table=N`` or ``proxy=N``."""
+    kind, _, name = words.partition("=")
+    if kind == "fleet":
+        return fleet(director)
+    if kind == "server":
+        return server(director, name)
+    if kind in ("table", "proxy") and name.isdecimal():
+        return (table if kind == "table" else proxy)(director, int(name))
+    raise InspectError(f"{words!r} is not fleet, server=HOST:PORT, table=N or proxy=N")
 
 
 def find(director: Director, words: str) -> Any:
--- a/rainpick/record/replay.py
+++ b/rainpick/record/replay.py
@@ -87,39 +87,58 @@
     raise LookupError("the record was cut meanwhile")
 
 
-def play(life: Life, steps: Iterable[Step | Hole], module: Callable[[], Director] = Director,
-         changes: dict[str, Any] | None = None, replace: dict[str, Any] | None = None,
-         compare: bool = False) -> Played:
-    """Feed a life to a fresh module.
+class Playing:
+    """A life under way: ``take`` its steps one by one, then ask what was ``played``.
 
     ``changes``: settings, by the module's names, that are other now; ``replace``: all of them. With
     ``compare`` the two streams of orders are told in users' terms.
     """
-    director = module()
-    count = orders = differing = 0
-    first, hole, end, before = None, None, life.now, None
-    sides: Compare | None = None
-    for one in steps:
+
+    def __init__(self, life: Life, module: Callable[[], Director] = Director,
+                 changes: dict[str, Any] | None = None, replace: dict[str, Any] | None = None,
+                 compare: bool = False):
+        self.life, self.director, self.compare = life, module(), compare
+        self.changes, self.replace = changes or {}, replace
+        self.steps = self.orders = self.differing = 0
+        self.first: Difference | None = None
+        self.hole: Hole | None = None
+        self.sides: Compare | None = None
+        self.last: Step | None = None
+
+    def take(self, one: Step | Hole) -> None:
+        """After a hole the rest of the life can't be played: it is left out."""
         if isinstance(one, Hole):
-            hole = hole or one
-            continue
-        if hole is not None:
-            continue  # the rest of this life can't be played
+            self.hole = self.hole or one
+        if self.hole is not None:
+            return
         events = one.events
         if events and type(events[0]) is api.Started:
             old = events[0].settings
-            new = (old if replace is None else replace) | (changes or {})
+            new = (old if self.replace is None else self.replace) | self.changes
             events = [events[0]._replace(settings=new), *events[1:]]
-            sides = Compare(one.now, old, new) if compare else None
-        given = director.step(one.now, events)
-        count, orders, end = count + 1, orders + len(one.orders), one.now
-        if sides:
-            sides.take(one.now, one.events, one.orders, given)
+            self.sides = Compare(one.now, old, new) if self.compare else None
+        given = self.director.step(one.now, events)
+        self.steps, self.orders = self.steps + 1, self.orders + len(one.orders)
+        if self.sides:
+            self.sides.take(one.now, one.events, one.orders, given)
         if list(given) != one.orders:
-            differing += 1
-            if first is None:
+            self.differing += 1
+            if self.first is None:
+                before = self.last.events if self.last else []
                 gone = [order for order in one.orders if order not in given]
                 fresh = [order for order in given if order not in one.orders]
-                first = Difference(count, one.now, before.events if before else [], events, gone, fresh)
-        before = one
-    return Played(life, count, orders, differing, first, sides.result() if sides else None, hole, end)
+                self.first = Difference(self.steps, one.now, before, events, gone, fresh)
+        self.last = one
+
+    def played(self) -> Played:
+        return Played(self.life, self.steps, self.orders, self.differing, self.first,
+                      self.sides.result() if self.sides else None, self.hole,
+                      self.last.now if self.last else self.life.now)
+
+
+def play(life: Life, steps: Iterable[Step | Hole], *how: Any, **words: Any) -> Played:
+    """Feed a life to a fresh module; the rest as for ``Playing``."""
+    playing = Playing(life, *how, **words)
+    for one in steps:
+        playing.take(one)
+    return playing.played()
--- a/rainpick/record/view.py
+++ b/rainpick/record/view.py
@@ -65,7 +65,7 @@
         self.servers: dict[Any, Server] = {}
         self.proxies: dict[int, Proxy] = {}
         self.loose: set[int] = set()  # proxies that are on no table
-        self.cold: set[Any] = set()  # servers that started lately
+        self.cold: dict[Any, None] = {}  # servers that started lately, in an order that no hash seed changes
         self.bound: dict[int, set[int]] = {}  # proxies by table
         self.levels: dict[tuple[int, int], float] = {}
         self.counts: Counter[str] = Counter()
@@ -109,7 +109,7 @@
             held = self.servers.setdefault(entry.address, Server())
             held.entry = entry
             if entry.started_us and now - entry.started_us < self.warm_us:
-                self.cold.add(entry.address)
+                self.cold[entry.address] = None
             self.settle(held, entry.state != api.READY, now)
         if event.kind != api.DELTA:
             present = {entry.address for entry in event.servers}
@@ -226,7 +226,7 @@
             held = self.servers[server]
             age_us = now - held.entry.started_us
             if age_us >= self.warm_us:
-                self.cold.discard(server)
+                del self.cold[server]
             elif age_us >= 0 and held.lines and not held.shut:
                 sure = self.least + (1 - self.least) * age_us / self.warm_us
                 part = max(held.lines.values()) / max(held.entry.weight * sure, 1e-9)
--- a/rainpick/store/log.py
+++ b/rainpick/store/log.py
@@ -72,8 +72,12 @@
         raise StoreError(f"segment {number} has format {form}; this program reads {FORMAT}")
 
 
-def blocks_of(folder: Path, number: int) -> Iterator[tuple[int, list] | Damage | Torn]:
-    """(offset, records) block by block; damage where it is; a torn end if nothing whole comes after it."""
+def blocks_of(folder: Path, number: int, from_us: int = 0,
+              until_us: int | None = None) -> Iterator[tuple[int, list] | Damage | Torn]:
+    """(offset, records) block by block; damage where it is; a torn end if nothing whole comes after it.
+
+    Heads are the index by time: a block wholly out of the range asked for is passed over, unchecked.
+    """
     data = path_of(folder, number).read_bytes()
     try:
         check_head(data, number)
@@ -88,6 +92,10 @@
         try:
             head = blocks.read_head(data[at:at + BLOCK.size])
             end = at + BLOCK.size + head.stored
+            if end <= len(data) and (head.last_us < from_us
+                                     or until_us is not None and head.first_us > until_us):
+                at = end
+                continue
             rows = blocks.read_block(head, data[at + BLOCK.size:end])
         except BlockError as flaw:
             later = next_whole(data, at + 1)
@@ -121,7 +129,7 @@
         if last is not None and number != last + 1:
             yield Gap(last + 1, number - 1)
         last = number
-        for found in blocks_of(folder, number):
+        for found in blocks_of(folder, number, from_us, until_us):
             if not isinstance(found, tuple) or isinstance(found, Damage | Torn):
                 yield found
                 continue
--- a/tests/record/test_compare.py
+++ b/tests/record/test_compare.py
@@ -146,8 +146,12 @@
     cold = dict(inspect.server(director, "127.0.0.1:9009")["because"])
     assert 0 < cold["it has just started"] < 1 and cold["the server is eased"] == 1.0
     assert dict(inspect.server(director, "127.0.0.1:9001")["because"])["its state on the list"] == 0.0
-    # Asking leaves no trace.
+    # Asking leaves no trace: the module ends a ramp that is done when it works out a percentage.
     assert all(vars(held) == before[address] for address, held in director.servers.items())
+    held = director.servers["127.0.0.1", 9003]
+    held.back_us = director.now - 60_000_000
+    inspect.server(director, "127.0.0.1:9003")
+    assert held.back_us == director.now - 60_000_000
 
 
 def test_inspection_reaches_the_moment_asked_for_and_no_later(tmp_path):
--- a/tests/record/test_days.py
+++ b/tests/record/test_days.py
@@ -47,6 +47,14 @@
     rows = [line.split()[:3] for line in found.stdout.splitlines()]
     times = [float(second) for second, _, _ in rows]
     assert times == sorted(times) and {director for _, director, _ in rows} == {"0", "1"}
+    # Played side by side they are what they were alone, and one moment is looked at in both.
+    command = [sys.executable, "-m", "rainpick", "replay", str(place / "record-0"), str(place / "record-1")]
+    both = subprocess.run([*command, "--json"], text=True, capture_output=True)
+    assert both.returncode == 0 and json.loads(both.stdout) == lives[0] + lives[1]
+    moment = subprocess.run([*command, "--json", "--until", "6", "--inspect", "fleet"],
+                            text=True, capture_output=True)
+    fleets = json.loads(moment.stdout)
+    assert len(fleets) == 2 and all(2 <= one["proxies"] <= 4 for one in fleets)
     # A change is told, and 1 is the exit code.
     code, other = replay(place / "record-1", "1", "--set", "rules.warm_after_us=30000000")
     assert code == 1 and other[0]["first"]["instead"] and other[0]["parted"] > 0
--- a/tests/record/test_exchange.py
+++ b/tests/record/test_exchange.py
@@ -6,8 +6,9 @@
 from click.testing import CliRunner
 
 from rainpick import interface as api
+from rainpick.balance import Director
 from rainpick.cli import main
-from rainpick.record.clock import reports_by_time, together, written
+from rainpick.record.clock import play_together, reach_together, reports_by_time, together, written
 from rainpick.record.exchange import ExchangeError, import_file, write
 from rainpick.record.recorder import Recorder
 from rainpick.record.replay import Hole, lives, play
@@ -90,6 +91,32 @@
     assert found == [(1_000, 0), (1_005, 1), (1_010, 0), (1_015, 1), (1_020, 0), (1_025, 1)]
 
 
+def test_two_directors_are_played_side_by_side_and_looked_at_in_one_moment(tmp_path):
+    """Each step at its moment: the order in which the two modules step is that of the wall's clock."""
+    turns = []
+
+    def module(name):
+        class Told(Director):
+            def step(self, now, events):
+                turns.append((name, now))
+                return super().step(now, events)
+        return Told
+
+    names = iter("ab")
+    start = [api.Started(7, {}), api.Listed(api.CACHED, (), 1)]
+    rows = [Step(0, start, [api.SetTimer(0, 250_000)]), *ticks(10, 20)]
+    put(tmp_path / "a", 1_000, *rows)
+    put(tmp_path / "b", 1_005, *rows, director=1)
+    places = [tmp_path / "a", tmp_path / "b"]
+    found = play_together(places, lambda: module(next(names))())
+    assert turns == [("a", 0), ("b", 0), ("a", 10), ("b", 10), ("a", 20), ("b", 20)]
+    assert [(one.life.director, one.steps, one.differing) for one in found] == [(0, 3, 0), (1, 3, 0)]
+    # At 12 us after the first step the one is at its second step, the other at its first.
+    assert [one.last.now for one in reach_together(places, 12e-6)] == [10, 0]
+    assert [one.last.now for one in reach_together(places, 2e-6)] == [0]
+    assert [one.last.now for one in reach_together(places, None)] == [20, 20]
+
+
 def test_a_wall_clock_set_back_between_lives_does_not_stir_a_record(tmp_path):
     put(tmp_path / "a", 5_000, *ticks(0, 10))
     put(tmp_path / "a", 1_000, *ticks(0, 10))
@@ -97,6 +124,8 @@
     found = list(together([tmp_path / "a", tmp_path / "b"]))
     assert [one.place for one in found if one.record == 0] == [1, 2, 3, 4]
     assert [one.wall_us for one in written(tmp_path / "a")] == [5_000, 5_010, 1_000, 1_010]
+    # The second life began after the first one, whatever its clock says.
+    assert [(one.record, one.place) for one in found] == [(0, 1), (1, 1), (0, 2), (0, 3), (0, 4), (1, 2)]
 
 
 def met(span_us):
--- a/tests/store/test_log.py
+++ b/tests/store/test_log.py
@@ -7,7 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from rainpick.store import Damage, FullError, Gap, Log, Record, StoreError, Torn, read, segments
+from rainpick.store import Damage, FullError, Gap, Log, Record, StoreError, Torn, blocks, read, segments
 from rainpick.store.blocks import SEGMENT
 
 
@@ -145,3 +145,17 @@
         os.utime(tmp_path / "age" / f"{number:010d}.seg", (1, 1))
     fill(tmp_path / "age", blocks=1, segment_most=100, keep_us=1_000_000).close()
     assert segments(tmp_path / "age")[0] == 3
+
+
+def test_blocks_out_of_the_time_asked_for_are_not_read(tmp_path, monkeypatch):
+    """The heads are the index: what lies outside is passed over, and what is asked for comes whole."""
+    log = Log(tmp_path, sync=False)
+    for second in range(50):
+        log.append(second * 10, 1, b"a")
+        log.append(second * 10 + 5, 1, b"b")
+        log.flush()
+    log.close()
+    unpacked, whole = [], blocks.read_block
+    monkeypatch.setattr(blocks, "read_block", lambda *words: unpacked.append(words) or whole(*words))
+    found = [one.time_us for one in read(tmp_path, 100, 125)]
+    assert found == [100, 105, 110, 115, 120, 125] and len(unpacked) == 3
