--- a/benchmarks/record.py
+++ b/benchmarks/record.py
@@ -72,7 +72,48 @@
     return time.thread_time() - begin, engine.counts.steps, engine.counts.events
 
 
+def live(seconds: float, sync: bool | None) -> tuple[list[float], float]:
+    """At the wall's pace, as a daemon would: turns of the core in seconds, sorted; CPU seconds of all.
+
+    ``sync``: whether the record waits for the disk; None: nothing is recorded.
+    """
+    engine, chance, turns = Engine(parse(TEXT), 5, 1_000_000), random.Random(3), []
+    recorder = None
+    if sync is not None:
+        life = Life(0, "bench", "", 1_000_000, 1_000_000, {})
+        recorder = Recorder(folder() / f"live{sync}", life, 64 << 20, 0, 0, sync)
+        engine.watch = recorder.step
+    engine.list_changed(api.Listed(api.CACHED, tuple(map(server, range(SERVERS))), 1))
+    for proxy in range(PROXIES):
+        engine.joined(proxy, True, 2.0, 0, ())
+    begin, cpu_s, report = time.monotonic(), time.process_time(), 0.0
+    while (passed := time.monotonic() - begin) < seconds:
+        if passed >= report:
+            report += 1
+            hosts = [("10.0.0.1", 9000 + chance.randrange(SERVERS)) for _ in range(80)]
+            engine.met([api.ServerMet(host, 0, chance.randint(4, 12), 0, 50_000, 1_000_000, ())
+                        for host in hosts])
+        now, due = 1_000_000 + int(passed * 1e6), engine.due_us()
+        if not engine.events and (due is None or due > now):
+            time.sleep(0.001)
+            continue
+        start = time.perf_counter()
+        for write in engine.advance(now):
+            engine.delivered(write.proxy, write.number)
+        turns.append(time.perf_counter() - start)
+    cpu_s = time.process_time() - cpu_s
+    if recorder:
+        recorder.close()
+    return sorted(turns), cpu_s
+
+
 def main() -> None:
+    turns, cpu_s = live(20, None)
+    for name, sync in (("recording", False), ("recording, waiting for the disk", True)):
+        other, other_s = live(20, sync)
+        print(f"live, {name}: CPU {other_s / cpu_s:.2f} times, " + ", ".join(
+            f"a turn at {part:.0%} {other[int(part * len(other))] / turns[int(part * len(turns))]:.2f} times"
+            for part in (0.5, 0.99)))
     place = folder() / "day"
     plain, recorded = [], []
     off = [day(2, None, plain)[0] for _ in range(3)]
