--- a/rainpick/standins/edges.py
+++ b/rainpick/standins/edges.py
@@ -227,7 +227,6 @@
                 self.proxies[number] = StandInProxy(number, day, standing, pods, log)
         rates = [chance.paretovariate(2.5) for _ in range(day["proxies"])]
         self.rates = {number: day["calls_per_s"] * rates[number] / sum(rates) for number in self.proxies}
-        self.pools = []
         for number, proxy in self.proxies.items():
             threading.Thread(target=self.drive, args=(proxy, self.rates[number]), daemon=True).start()
 
@@ -235,7 +234,6 @@
         """Open loop: calls arrive when they arrive, however long answers take."""
         chance = random.Random(f"{self.day['seed']} client {proxy.number}")
         pool = ThreadPoolExecutor(max_workers=64)
-        self.pools.append(pool)
         routes, shares = self.day["routes"], [route["share"] for route in self.day["routes"]]
         due, count = now_us(), 0
         while not self.ended.is_set():
@@ -244,6 +242,8 @@
                 break
             route, count = chance.choices(routes, shares)[0], count + 1
             pool.submit(self.ask, proxy, route, f"{proxy.uid}.{count}", due)
+        # Here and not in ``close``: it shut pools that a thread was just about to hand a call to.
+        pool.shutdown(wait=False, cancel_futures=True)
 
     def ask(self, proxy: StandInProxy, route: dict, call: str, due: int) -> None:
         """One client's call with its own repeats, until the time limit."""
@@ -277,5 +277,3 @@
         self.ended.set()
         for proxy in self.proxies.values():
             proxy.close()
-        for pool in self.pools:
-            pool.shutdown(wait=False, cancel_futures=True)
