Calls that waited for the relay go as one, withdrawals before the rest

The director's zone is cut: its relay answers nothing for 6.5 s, new connections do not come up. Ruled out: that the connection for calls had only been closed as idle (kept open by calls without orders it fell silent all the same), and the module, which ordered the withdrawal 1 ms after the list told it.

Change: dials last 0.1 s; what waited is merged: void orders are left out, withdrawals are one call, the rest a second one; its mark answers for the earlier marks, too (Roster). A call without orders each idle second keeps the connection from being closed.

--- a/rainpick/net/streams.py
+++ b/rainpick/net/streams.py
@@ -115,6 +115,8 @@
         if not self.closed:
             self.closed = True
             with contextlib.suppress(OSError):
+                if self.rest:  # a peer that does not read would keep an ordinary end waiting in the kernel
+                    self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
                 self.sock.shutdown(socket.SHUT_RDWR)
             self.sock.close()
 
--- a/rainpick/node/__main__.py
+++ b/rainpick/node/__main__.py
@@ -38,7 +38,7 @@
     def __init__(self, told: Configuration):
         self.told, inbox = told, Inbox()
         self.door = Door(told.listen, told.names, told.sockets, inbox)
-        self.calls = Calls(told.relay)
+        self.calls = Calls(told.relay, list(told.names.routes), inbox.put)
         self.news = News(told.relay, told.names, lambda found: inbox.put(*found))
         self.watch = Watch(told.discovery, told.names, inbox.put)
         self.core = Core(told, members(told.known, told.names), inbox, self.calls.put)
@@ -47,7 +47,7 @@
 
     def figures(self) -> dict:
         return {"door": self.door.status(), "calls": self.calls.counts,
-                "slowest_call_s": round(self.calls.slowest_s, 3), "news_streams": self.news.streams,
+                "news_streams": self.news.streams,
                 "list_failed": self.watch.failed, "threads": threading.active_count()}
 
     def run(self) -> None:
@@ -57,7 +57,7 @@
         for part in (self.core, self.calls, self.news, self.watch):
             threading.Thread(target=loudly, args=(part.run,), name=type(part).__name__, daemon=True).start()
         self.door.start()
-        log.info("serving", name=self.told.name, address="%s:%d" % self.door.address,
+        log.info("serving", name=self.told.name, cores=self.told.cores, address="%s:%d" % self.door.address,
                  cpu_s=round(sum(os.times()[:2]), 2))
         while True:
             if self.again.wait(SWEEP_S):
--- a/rainpick/node/belief.py
+++ b/rainpick/node/belief.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 from rainpick import interface as api
-from rainpick.node.codec import Members
+from rainpick.node.codec import Members, Merged
 
+MERGED_MOST = 64  # marks that stand for others; an answer is due long before so many more
 FORGOTTEN_MOST = 512  # servers that have left and whose reports are still taken
 
 
@@ -54,6 +55,7 @@
     def __init__(self) -> None:
         self.joined: set[int] = set()
         self.listed: set[int] | None = None  # while a new stream lists who is joined
+        self.earlier: dict[int, tuple[int, ...]] = {}  # by mark, those that it stands for too
 
     def begin(self) -> None:
         self.listed = set()
@@ -68,8 +70,18 @@
             return []
         elif type(event) is api.ProxyLeft:
             self.joined.discard(event.proxy)
+        elif event.number in self.earlier:
+            return [*(event._replace(number=mark) for mark in self.earlier[event.number]), event]
         return [event]
 
+    def merged(self, told: Merged) -> None:
+        """Calls went as one: a proxy that was reached by an earlier one alone answers the last one's mark."""
+        self.earlier.pop(told.number, None)
+        self.earlier[told.number] = tuple(
+            mark for one in told.earlier for mark in (*self.earlier.get(one, ()), one))
+        while len(self.earlier) > MERGED_MOST:
+            del self.earlier[next(iter(self.earlier))]
+
     def settle(self) -> list:
         """The new stream has listed all: who was not among them has left."""
         if self.listed is None:
--- a/rainpick/node/codec.py
+++ b/rainpick/node/codec.py
@@ -8,7 +8,6 @@
 
 import json
 import math
-from collections.abc import Iterator
 from typing import NamedTuple
 
 from rainpick import interface as api
@@ -127,6 +126,8 @@
 
     def receive(self, data: bytes) -> list:
         """``Alive``, ``Collector``, ``Spoilt``, reports as events, and ``Ended``, in order."""
+        if self.over:
+            return []
         self.rest += data
         found: list = []
         while not self.over and len(self.rest) >= 4:
@@ -172,7 +173,7 @@
             if self.zone is None:
                 self.end(found, str(flaw))
             else:
-                found.append(Spoilt(f"{kind}: {flaw}" if kind in REPORTS else str(flaw)))
+                found.append(Spoilt(f"{str(kind)[:40]}: {flaw}"))
 
 
 class LineReader:
@@ -244,44 +245,93 @@
 class Call(NamedTuple):
     """What one call carries: a mark, if the step gave one, and the step's other orders in their order."""
 
-    mark: bytes | None
-    orders: tuple[bytes, ...]
-
-    def rest(self, taken: int) -> Call:
-        """What is still to be sent once so many orders stood: the next, which was refused, is left out."""
-        if self.mark is None:
-            return Call(None, self.orders[taken + 1:])
-        # The mark was given first: with none taken it is what was refused.
-        return Call(self.mark, self.orders[taken:]) if taken else Call(None, self.orders)
+    mark: api.Mark | None
+    orders: tuple[object, ...]
+
+    def rest(self, taken: int, part: Call) -> Call | None:
+        """What is still to be sent once so many orders of this first part of it stood.
+
+        An order that was refused is left out: a proxy may have left meanwhile. None: all has been said.
+        """
+        marked = self.mark is not None
+        refused = taken < part.many()
+        if marked and not taken:
+            return Call(None, self.orders) if self.orders else None  # the mark went first
+        left = self.orders[taken - marked + refused:]
+        return Call(self.mark, left) if left else None
+
+    def part(self, routes: list[str]) -> Call:
+        """As much of it as the relay takes in one call, the mark included; nearly always that is all."""
+        size = 0
+        for at, order in enumerate(self.orders):
+            size += len(rendered(order, routes)) + 1
+            if size > CALL_MOST and at:
+                return Call(self.mark, self.orders[:at])
+        return self
 
     def many(self) -> int:
         return len(self.orders) + (self.mark is not None)
 
-    def data(self, number: int) -> bytes:
-        """The line to send."""
-        orders = b",".join([*([self.mark] if self.mark else []), *self.orders])
-        return b'{"jsonrpc":"2.0","id":%d,"method":"commit","params":{"orders":[%s]}}\n' % (number, orders)
+    def data(self, number: int, routes: list[str]) -> bytes:
+        """The line to send.
+
+        The mark goes first: an order that the relay refuses halts it, and the proxies that the orders before
+        it reached would never answer.
+        """
+        orders = ([self.mark] if self.mark is not None else []) + list(self.orders)
+        body = b",".join(rendered(order, routes) for order in orders)
+        return b'{"jsonrpc":"2.0","id":%d,"method":"commit","params":{"orders":[%s]}}\n' % (number, body)
+
+
+def call(orders: list) -> Call | None:
+    """The call for one step's orders; None where there is nothing to say."""
+    mark = next((order for order in orders if type(order) is api.Mark), None)
+    others = tuple(order for order in orders if type(order) is not api.Mark)
+    return Call(mark, others) if others or mark is not None else None
 
 
-def calls(orders: list, routes: list[str]) -> Iterator[Call]:
-    """The calls for one step's orders; nearly always one.
+class Merged(NamedTuple):
+    """The mark ``number`` also stands for these earlier ones, whose own calls were never sent."""
 
-    The mark goes first, and with each part: an order that the relay refuses halts it, and the proxies that
-    the orders before it reached would never answer.
+    number: int
+    earlier: tuple[int, ...]
+
+
+def subject(order: object) -> tuple | None:
+    """What an order settles: a newer one on the same makes it void. None: it must be kept as it is."""
+    match order:
+        case api.SetLine(table, server, _):
+            return "line", table, server
+        case api.Withdraw(server, _):
+            return "open", server
+        case api.Bind(_, chosen, proxy):
+            return "bind", chosen, proxy
+        case api.Admit(table, chosen, _, _):
+            return "admit", table, chosen
+    return None
+
+
+def merged(waiting: list[Call]) -> tuple[list[Call], Merged | None]:
+    """Calls that had to wait for the relay, as one message a proxy; withdrawals are one before the rest.
+
+    Sent one by one they were a message each with a head for every proxy, and the withdrawals in the last of
+    them waited in the paced channel behind weights that newer ones had made void already.
     """
-    mark = next((rendered(order, routes) for order in orders if type(order) is api.Mark), None)
-    part, size = [], 0
-    for order in orders:
-        if type(order) is api.Mark:
-            continue
-        data = rendered(order, routes)
-        if part and size + len(data) + 1 > CALL_MOST:
-            yield Call(mark, tuple(part))
-            part, size = [], 0
-        part.append(data)
-        size += len(data) + 1
-    if part or mark:
-        yield Call(mark, tuple(part))
+    orders = [order for one in waiting for order in one.orders]
+    if not any(subject(order) is None for order in orders):
+        newest = {subject(order): at for at, order in enumerate(orders)}
+        orders = [order for at, order in enumerate(orders) if newest[subject(order)] == at]
+    shut = tuple(order for order in orders if type(order) is api.Withdraw and order.on)
+    rest = tuple(order for order in orders if not (type(order) is api.Withdraw and order.on))
+    marks = [one.mark for one in waiting if one.mark is not None]
+    last = told = None
+    if marks:
+        told = Merged(marks[-1].number, tuple(mark.number for mark in marks[:-1]))
+        last = api.Mark(told.number, any(mark.everyone for mark in marks))
+    if shut and rest and len(marks) != 1:
+        # The first mark says only that the withdrawals were read: the rest still waits in the channel.
+        return [Call(marks[0] if marks else None, shut), Call(last, rest)], told
+    return [Call(last, shut + rest)], told
 
 
 class Taken(NamedTuple):
--- a/rainpick/node/configuration.py
+++ b/rainpick/node/configuration.py
@@ -36,6 +36,7 @@
     discovery: tuple[str, int]
     relay: tuple[str, int]
     seed: int
+    cores: float
     sockets: int
     known: dict
     settings: dict  # the module's map
@@ -99,5 +100,6 @@
         within(path, tree, "name", str), place(path, "listen", tree.get("listen")),
         place(path, "discovery", tree.get("discovery")),
         place(path, "registry.address", within(path, tree, "registry.address", str)), seed,
+        float(within(path, tree, "limits.cores", (int, float))),
         int(within(path, tree, "limits.sockets", (int, float))), within(path, tree, "known", dict),
         settings, names)
--- a/rainpick/node/core.py
+++ b/rainpick/node/core.py
@@ -10,7 +10,7 @@
 from rainpick.balance import Director
 from rainpick.director.stepper import Stepper
 from rainpick.node.belief import Listing, Roster
-from rainpick.node.codec import Call, Members, Ping, calls
+from rainpick.node.codec import Call, Members, Merged, Ping, call
 from rainpick.node.configuration import Configuration
 from rainpick.node.inbox import Inbox
 from rainpick.node.log import log
@@ -39,7 +39,6 @@
     def __init__(self, told: Configuration, known: Members, inbox: Inbox, send: Callable[[Call], None],
                  module: Callable[[], Director] = Director):
         self.inbox, self.send, self.clock = inbox, send, clock_maker()
-        self.routes = list(told.names.routes)
         self.round_us = told.settings.get("round_us", 1_000)
         self.stepper = Stepper(told.seed, told.settings, module)
         self.listing, self.roster = Listing(), Roster()
@@ -82,6 +81,8 @@
             self.stepper.events.append(self.listing.take(item))
         elif kind is Begun:
             self.roster.begin()
+        elif kind is Merged:
+            self.roster.merged(item)
         elif kind is Ping:
             self.stepper.events += self.roster.settle()
         else:
@@ -95,8 +96,9 @@
                 log.info("note", text=order.text)
         # The list is followed anyway, whether the module subscribes or not.
         spoken = (api.Note, api.Subscribe, api.FetchList)
-        for call in calls([order for order in orders if type(order) not in spoken], self.routes):
-            self.send(call)
+        said = call([order for order in orders if type(order) not in spoken])
+        if said is not None:
+            self.send(said)
 
     def figures(self) -> dict:
         """What the director believes and did, for the log."""
--- a/rainpick/node/relay.py
+++ b/rainpick/node/relay.py
@@ -9,18 +9,28 @@
 from collections.abc import Callable
 from itertools import count
 
-from rainpick import interface as api
-from rainpick.node.codec import Call, LineReader, NotTaken, Ping, SpoiltError, Taken, answer, load_json, news
+from rainpick.node.codec import (
+    Call,
+    LineReader,
+    Merged,
+    NotTaken,
+    SpoiltError,
+    Taken,
+    answer,
+    load_json,
+    merged,
+    news,
+)
 from rainpick.node.configuration import Names
 from rainpick.node.log import log
 
 PIECE = 65_536
-DIAL_S = 0.5
+DIAL_S = 0.1  # a relay that is back is found within that
 ANSWER_S = 0.12  # the relay answers within 50 ms or never; the rest is for a core that is shared
 BUSY_S = 0.02
-AGAIN_S = 0.05
-IDLE_S = 2.0  # the relay closes what is idle for 10 s or less: rather than send into that, a call dials anew
-SILENT_S = 2.5  # without a sign of life, due each second
+AGAIN_S = 0.02
+IDLE_S = 1.0  # after which a call without orders keeps the connection from being closed as idle
+SILENT_S = 2.0  # without a sign of life, due each second
 REFUSED_MOST = 5  # times that a whole call is refused for good before it is left out
 
 
@@ -36,78 +46,96 @@
 
 class Calls:
     """Sends calls strictly in order. One that may or may not have been carried out is sent again, whole,
-    before anything newer: repeated in its place it is harmless, as every order says how things are to be."""
+    before anything newer: repeated in its place it is harmless, as every order says how things are to be.
 
-    def __init__(self, place: tuple[str, int]):
-        self.place, self.queue = place, queue.SimpleQueue()
+    Calls that had to wait go as one, see ``codec.merged``; ``tell`` is handed what their marks stand for.
+    """
+
+    def __init__(self, place: tuple[str, int], routes: list[str], tell: Callable[[Merged], None]):
+        self.place, self.routes, self.tell, self.queue = place, routes, tell, queue.SimpleQueue()
         self.sock: socket.socket | None = None
         self.dialled: tuple[str, int] | None = None
-        self.lines, self.numbers = LineReader(), count(1)
-        self.counts = {"calls": 0, "orders": 0, "again": 0, "busy": 0, "refused": 0, "dials": 0}
-        self.slowest_s = 0.0
+        self.lines, self.numbers, self.reached = LineReader(), count(1), True
+        self.counts = {"calls": 0, "orders": 0, "again": 0, "busy": 0, "refused": 0, "dials": 0, "merged": 0}
+        self.refusals = 0  # of the call that is sent now, not for being busy
 
     def put(self, call: Call) -> None:
-        self.queue.put((time.monotonic(), call))
+        self.queue.put(call)
 
     def move(self, place: tuple[str, int]) -> None:
         """For another thread: the next call goes there."""
         self.place = place
 
     def run(self) -> None:
+        waiting: list[Call] = []
         while True:
             try:
-                since, call = self.queue.get(timeout=IDLE_S)
+                waiting += [] if waiting else [self.queue.get(timeout=IDLE_S)]
             except queue.Empty:
-                self.close()
+                if self.sock is not None:
+                    self.turn(Call(None, ()))
                 continue
-            refused = 0
-            while call is not None:
-                call, code = self.turn(call)
-                refused += code is not None and code != "BUSY"
-                if refused >= REFUSED_MOST:
-                    log.error("call left out", why=code, orders=call.many())
-                    call = None
-            self.slowest_s = max(self.slowest_s, time.monotonic() - since)
-
-    def turn(self, call: Call) -> tuple[Call | None, str | None]:
-        """Send a call once: what is still to be sent of it, and why it was refused whole."""
+            self.reach()
+            while not self.queue.empty():
+                waiting.append(self.queue.get())
+            if len(waiting) > 1:
+                self.counts["merged"] += len(waiting)
+                waiting, told = merged(waiting)
+                if told is not None:
+                    self.tell(told)
+            left = self.turn(waiting[0])
+            waiting[:1] = [] if left is None else [left]
+
+    def reach(self) -> None:
+        """Have a connection: what is ordered while there is none waits and goes as one."""
+        while self.sock is None or self.dialled != self.place or self.ended():
+            self.close()
+            self.dialled = self.place
+            try:
+                self.sock, self.lines = dial(self.dialled, DIAL_S), LineReader()
+            except OSError as flaw:
+                if self.reached:
+                    self.reached = False
+                    log.warning("relay out of reach", why=str(flaw))
+                time.sleep(AGAIN_S)
+                continue
+            self.counts["dials"] += 1
+            if not self.reached:
+                self.reached = True
+                log.info("relay reached again")
+
+    def turn(self, call: Call) -> Call | None:
+        """Send a call, or as much of it as goes into one, once: what is still to be sent of it."""
+        part = call.part(self.routes)
         try:
-            taken = self.send(call)
+            taken = self.send(part)
         except NoAnswerError as flaw:
             self.counts["again"] += 1
-            log.warning("call in doubt, sent again", why=str(flaw), orders=call.many())
-            self.close()
-            return call, None
-        except OSError as flaw:
+            log.warning("call in doubt, sent again", why=str(flaw), orders=part.many())
             self.close()
-            log.warning("relay out of reach", why=str(flaw))
-            time.sleep(AGAIN_S)
-            return call, None
+            return call
         if type(taken) is NotTaken:
             self.counts["busy"] += 1
-            time.sleep(BUSY_S)
-            return call, taken.code
+            self.refusals += taken.code != "BUSY"
+            if self.refusals < REFUSED_MOST:
+                time.sleep(BUSY_S)
+                return call
+            log.error("call left out", why=taken.code, orders=part.many())
+            taken = Taken(part.many())
+        self.refusals = 0
         self.counts["calls"] += 1
         self.counts["orders"] += taken.count
-        if taken.count == call.many():
-            return None, None
-        rest = call.rest(taken.count)
-        self.counts["refused"] += 1
-        log.warning("order refused", place=taken.count, orders=call.many())
-        return rest if rest.orders else None, None
+        if taken.count < part.many():
+            self.counts["refused"] += 1
+            log.warning("order refused", place=taken.count, orders=part.many())
+        return call.rest(taken.count, part)
 
     def send(self, call: Call) -> Taken | NotTaken:
-        """``OSError``: the call never left; ``NoAnswerError``: it may have."""
-        if self.sock is not None and (self.dialled != self.place or self.ended()):
-            self.close()
-        if self.sock is None:
-            self.dialled = self.place
-            self.sock, self.lines = dial(self.dialled, DIAL_S), LineReader()
-            self.counts["dials"] += 1
+        """One try; ``NoAnswerError``: the call may have been carried out, whole, or not at all."""
         number = next(self.numbers)
         try:
-            self.sock.settimeout(DIAL_S)
-            self.sock.sendall(call.data(number))
+            self.sock.settimeout(ANSWER_S)
+            self.sock.sendall(call.data(number, self.routes))
             until = time.monotonic() + ANSWER_S
             while True:
                 left = until - time.monotonic()
@@ -161,11 +189,13 @@
     def run(self) -> None:
         while True:
             place = self.place
+            began = self.streams
             try:
                 with dial(place, DIAL_S) as self.sock:
                     self.follow(self.sock)
             except (OSError, ValueError) as flaw:
-                log.warning("news broke off", why=str(flaw) or type(flaw).__name__)
+                if self.streams != began:
+                    log.warning("news broke off", why=str(flaw) or type(flaw).__name__)
             if place == self.place:
                 time.sleep(AGAIN_S)
 
@@ -194,5 +224,3 @@
                     log.warning("news dropped", why=str(flaw))
             self.give(found)
 
-
-Event = api.ProxyJoined | api.ProxyLeft | api.Applied | Ping | Begun
--- a/rainpick/node/watch.py
+++ b/rainpick/node/watch.py
@@ -37,14 +37,17 @@
             client = self.client
             try:
                 self.turn(client)
+                if tries:
+                    log.info("discovery reached again", tries=tries)
                 tries = 0
             except (ClientError, ValueError) as flaw:
                 client.close()
                 self.failed += 1
                 if client is self.client:
+                    if not tries:
+                        log.warning("discovery failed", why=str(flaw))
                     time.sleep(PAUSES_S[min(tries, len(PAUSES_S) - 1)])
                     tries += 1
-                    log.warning("discovery failed", why=str(flaw), tries=tries)
             if client is not self.client:
                 client.close()
 
--- /dev/null
+++ b/tests/node/__init__.py
@@ -0,0 +1,1 @@
+"""The live director."""
--- /dev/null
+++ b/tests/node/test_belief.py
@@ -0,0 +1,78 @@
+"""What the director holds between two answers of discovery, and between two streams of news."""
+
+from rainpick import interface as api
+from rainpick.node import belief
+from rainpick.node.belief import Listing, Roster
+from rainpick.node.codec import Merged, members
+from tests.node.platform import NAMES, entry
+
+
+def news(full, *entries, version=1):
+    return members({"generation": version, "reset": full, "instances": list(entries)}, NAMES)
+
+
+def test_a_bad_entry_in_a_whole_list_says_nothing_of_its_server():
+    """It was as if the server had been removed: a spoilt line would have shut out a sound server."""
+    listing = Listing()
+    listing.take(news(True, entry(1), entry(2)), api.CACHED)
+    told = listing.take(news(True, entry(1), entry(2, weight="x"), entry(3, weight="x")))
+    assert told.kind == api.FULL and [one.address for one in told.servers] == ["s-0001", "s-0002"]
+    assert listing.knows("s-0002") and not listing.knows("s-0003")
+
+
+def test_changes_and_servers_that_have_left():
+    listing = Listing()
+    listing.take(news(True, entry(1), entry(2)))
+    told = listing.take(news(False, entry(1, "Gone"), entry(3), version=2))
+    assert told.kind == api.DELTA and told.version == listing.version == 2
+    assert sorted(listing.entries) == ["s-0002", "s-0003"]
+    assert listing.knows("s-0001"), "its last reports come late"
+    listing.take(news(True, entry(1)))
+    assert sorted(listing.entries) == ["s-0001"]
+
+
+def test_what_is_kept_of_servers_that_have_left_is_bounded(monkeypatch):
+    """On a long day servers are replaced by new ones all day."""
+    monkeypatch.setattr(belief, "FORGOTTEN_MOST", 10)
+    listing = Listing()
+    for number in range(100):
+        listing.take(news(False, entry(number)))
+        listing.take(news(False, entry(number, "Gone")))
+    assert not listing.entries and len(listing.gone) == 10
+    assert listing.knows(entry(99)["instanceId"]) and not listing.knows(entry(0)["instanceId"])
+
+
+def joined(proxy):
+    return api.ProxyJoined(proxy, False, 1.0, 0)
+
+
+def test_a_new_stream_of_news_tells_joinings_anew_and_who_has_left():
+    roster = Roster()
+    for proxy in (1, 2, 3):
+        assert roster.take(joined(proxy)) == [joined(proxy)]
+    assert roster.settle() == [], "no new stream has begun"
+    roster.begin()
+    # 1 may have left and come back unseen, its binding gone: the module has to bind it again.
+    assert roster.take(joined(1)) == [joined(1)]
+    assert roster.take(joined(3)) == [joined(3)] and roster.take(api.ProxyLeft(3)) == [api.ProxyLeft(3)]
+    assert roster.settle() == [api.ProxyLeft(2)] and roster.joined == {1} and roster.settle() == []
+
+
+def test_news_of_who_is_not_joined_are_dropped():
+    roster = Roster()
+    assert roster.take(api.ProxyLeft(1)) == [] and roster.take(api.Applied(1, 5, 0)) == []
+    roster.take(joined(1))
+    assert roster.take(api.Applied(1, 5, 0)) == [api.Applied(1, 5, 0)]
+
+
+def test_the_mark_of_calls_that_went_as_one_answers_for_all_of_them():
+    """A proxy that only the earlier one reached would never have answered, and counts as waiting for good."""
+    roster = Roster()
+    roster.take(joined(1))
+    roster.merged(Merged(7, (5, 6)))
+    roster.merged(Merged(9, (7, 8)))  # the merged one had to wait again
+    assert [one.number for one in roster.take(api.Applied(1, 9, 20))] == [5, 6, 7, 8, 9]
+    assert [one.number for one in roster.take(api.Applied(1, 4, 20))] == [4]
+    for number in range(100, 100 + 2 * belief.MERGED_MOST):
+        roster.merged(Merged(number, (1,)))
+    assert len(roster.earlier) == belief.MERGED_MOST
--- /dev/null
+++ b/tests/node/test_inbox.py
@@ -0,0 +1,42 @@
+"""What is shed when too much comes, and what never is; and the bounded log."""
+
+import io
+import json
+import threading
+
+from rainpick.node.inbox import Inbox
+from rainpick.node.log import BURST, Log
+
+
+def test_the_oldest_reports_are_shed_and_nothing_else():
+    inbox = Inbox(news_most=100, reports_most=3)
+    inbox.report(range(5))
+    inbox.put("joined", "left")
+    assert inbox.take(0) == (["joined", "left"], [2, 3, 4]) and inbox.shed == 2
+    assert inbox.take(0) == ([], [])
+
+
+def test_news_wait_for_room_and_are_never_lost():
+    inbox = Inbox(news_most=2)
+    thread = threading.Thread(target=lambda: [inbox.put(number) for number in range(50)])
+    thread.start()
+    got = []
+    while len(got) < 50:
+        news, _ = inbox.take(5)
+        assert 0 < len(news) <= 2
+        got += news
+    thread.join()
+    assert got == list(range(50))
+
+
+def test_the_log_is_bounded_and_says_what_it_left_out():
+    """A thousand strangers a second must not fill what holds the log."""
+    now, sink = [0.0], io.StringIO()
+    log = Log(sink, lambda: now[0])
+    for _ in range(10_000):
+        log.warning("odd", why="x")
+    assert len(sink.getvalue().splitlines()) == BURST
+    now[0] = 1.0
+    log.info("after")
+    last = json.loads(sink.getvalue().splitlines()[-1])
+    assert last["event"] == "after" and last["left_out"] == 10_000 - BURST
--- /dev/null
+++ b/tests/node/test_node.py
@@ -0,0 +1,130 @@
+"""The whole director as a process, as the platform starts it."""
+
+import contextlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import pytest
+
+from rainpick.node.codec import ALIVE
+from tests.node.platform import Discovery, Peer, Relay, configuration, entry, until
+
+
+def free_place():
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        return sock.getsockname()
+
+
+class Running:
+    def __init__(self, folder):
+        self.discovery, self.relay = Discovery(*map(entry, range(6))), Relay()
+        self.listen, self.path, self.log = free_place(), folder / "config.json", folder / "log"
+        self.tell()
+        with self.log.open("wb") as log:
+            self.process = subprocess.Popen([sys.executable, "-m", "rainpick.node"], stderr=log,
+                                            env=os.environ | {"PROXY_CONFIG": str(self.path)})
+        until(self.answers, "a sign of life")
+
+    def tell(self, text=None):
+        known = {"generation": 0, "reset": True, "instances": [entry(0), entry(1)]}
+        tree = configuration(self.listen, self.discovery.address, self.relay.address, known=known)
+        self.path.write_text(text or json.dumps(tree))
+
+    def answers(self):
+        with contextlib.suppress(OSError):
+            peer = Peer(self.listen)
+            answer = peer.send({"t": "hb"}).answer(len(ALIVE))
+            peer.close()
+            return answer == ALIVE
+
+    def said(self, event):
+        return any(json.loads(line)["event"] == event for line in self.log.read_text().splitlines()
+                   if line.startswith("{"))
+
+    def withdrawn(self):
+        return {order["endpoint"] for order in self.relay.orders("withdraw")}
+
+
+@pytest.fixture
+def node(tmp_path):
+    made = Running(tmp_path)
+    yield made
+    made.process.kill()
+    made.process.wait()
+    made.discovery.close()
+    made.relay.close()
+
+
+def bound(relay):
+    return sorted(order["node"] for order in relay.orders("bind"))
+
+
+def test_a_proxy_that_joins_is_bound_and_a_drain_withdrawn(node):
+    node.relay.attach(3)
+    until(lambda: bound(node.relay) == [3], "its table")
+    wanted = {entry(number)["instanceId"] for number in range(6)}  # the configuration knew two of them
+    until(lambda: {order["endpoint"] for order in node.relay.orders("share") if order["w"] > 0} == wanted, "all")
+    node.discovery.change(entry(2, "Terminating"))
+    until(lambda: node.withdrawn() == {"s-0002"}, "the withdrawal")
+
+
+def test_signs_of_life_while_discovery_and_relay_are_out_of_reach(node):
+    node.discovery.close()
+    node.relay.close()
+    until(lambda: node.said("news broke off"), "the break")
+    for _ in range(20):
+        assert node.answers()
+
+
+def test_new_addresses_on_sighup_more_than_once_under_load(node):
+    for turn in range(3):
+        node.relay.attach(turn)
+        until(lambda turn=turn: turn in bound(node.relay), "its table")
+        old = node.discovery, node.relay
+        node.discovery, node.relay = Discovery(*map(entry, range(6))), Relay()
+        node.discovery.versions *= turn + 3
+        node.relay.joined = dict(old[1].joined)
+        node.tell()
+        node.process.send_signal(signal.SIGHUP)
+        until(lambda: node.relay.readers and node.discovery.asked, "the new addresses")
+        for one in old:
+            one.close()
+    node.discovery.change(entry(4, "Terminating"))
+    until(lambda: node.withdrawn() == {"s-0004"}, "a drain told and ordered at the new addresses")
+    assert node.process.poll() is None
+
+
+@pytest.mark.parametrize("text", ["{half", "[]", '{"name":"n0"}'])
+def test_a_configuration_that_cannot_be_read_leaves_the_old_one_in_force(node, text):
+    node.tell(text)
+    node.process.send_signal(signal.SIGHUP)
+    until(lambda: node.said("configuration refused"), "the error")
+    node.relay.attach(1)
+    until(lambda: bound(node.relay) == [1], "its table")
+
+
+def test_sigterm_ends_it_in_time_with_0(node):
+    node.relay.attach(1)
+    begin = time.monotonic()
+    node.process.terminate()
+    assert node.process.wait(5) == 0 and time.monotonic() - begin < 0.7
+
+
+def test_a_thread_that_fails_ends_the_whole_process(tmp_path):
+    """A director that looks alive and decides nothing is worse than none."""
+    text = "import rainpick.node.__main__ as node\nnode.loudly(lambda: 1 / 0)"
+    found = subprocess.run([sys.executable, "-c", text], capture_output=True, text=True, timeout=30)
+    assert found.returncode == 1 and "ZeroDivisionError" in found.stderr
+
+
+def test_a_configuration_that_cannot_be_used_ends_the_start_with_a_line(tmp_path):
+    path = tmp_path / "config.json"
+    path.write_text('{"settings": {}}')
+    found = subprocess.run([sys.executable, "-m", "rainpick.node"], capture_output=True, text=True,
+                           env=os.environ | {"PROXY_CONFIG": str(path)}, timeout=30)
+    assert found.returncode == 1 and found.stderr.count("\n") == 1 and str(path) in found.stderr
--- /dev/null
+++ b/tests/node/test_relay.py
@@ -0,0 +1,174 @@
+"""Calls and news against a stand-in of the relay that refuses, falls silent, breaks and writes nonsense."""
+
+import contextlib
+import threading
+
+import pytest
+
+from rainpick import interface as api
+from rainpick.node import relay as relay_module
+from rainpick.node.codec import Merged, Ping, call
+from rainpick.node.relay import Begun, Calls, News
+from tests.node.platform import NAMES, Relay, until
+
+
+@pytest.fixture
+def relay():
+    made = Relay()
+    yield made
+    made.close()
+
+
+def sending(relay):
+    made = Calls(relay.address, list(NAMES.routes), lambda told: None)
+    threading.Thread(target=made.run, daemon=True).start()
+    return made
+
+
+def step(*tables, mark=None):
+    orders = [api.ClearTable(table) for table in tables]
+    return call(orders + ([api.Mark(mark, False)] if mark is not None else []))
+
+
+def cleared(relay):
+    return [order["cluster"] for order in relay.orders("clear")]
+
+
+@pytest.mark.parametrize("way,carried", [
+    ("busy", [1, 2, 3]),  # not carried out: it is sent again
+    ("dropped", [1, 2, 3]), ("lost", [1, 2, 3]),  # nobody knows: it was not, as it turns out
+    # It was: twice, in its place.
+    ("broken", [1, 1, 2, 3]), ("unheard", [1, 1, 2, 3]), ("spoilt", [1, 1, 2, 3]),
+])
+def test_a_call_is_repeated_whole_before_anything_newer(relay, way, carried):
+    relay.ways = [way]
+    making = sending(relay)
+    making.put(step(1))
+    until(lambda: relay.lines, "the first try")
+    for table in (2, 3):
+        making.put(step(table))
+    until(lambda: cleared(relay)[-1:] == [3], "the last order")
+    assert cleared(relay) == carried
+
+
+def test_an_order_refused_in_the_middle_is_left_out_and_the_rest_goes_on(relay):
+    """A proxy may have left meanwhile; what follows must not be lost with it, nor the mark of either part."""
+    relay.ways = [2]  # the mark and table 1 stand; table 2 is refused
+    making = sending(relay)
+    making.put(step(1, 2, 3, mark=7))
+    until(lambda: cleared(relay)[-1:] == [3], "the rest")
+    making.put(step(4))
+    until(lambda: cleared(relay)[-1:] == [4], "the next call")
+    assert cleared(relay) == [1, 3, 4]
+    assert [order["stamp"] for order in relay.orders("mark")] == [7, 7] and making.counts["refused"] == 1
+
+
+def test_a_call_that_is_always_refused_whole_does_not_block_the_rest(relay):
+    relay.ways = ["syntax"] * relay_module.REFUSED_MOST
+    making = sending(relay)
+    making.put(step(1))
+    until(lambda: not relay.ways, "the last refusal")
+    making.put(step(2))
+    until(lambda: cleared(relay) == [2], "the next call")
+
+
+def test_the_relay_may_be_busy_for_as_long_as_it_likes(relay):
+    relay.ways = ["busy"] * (3 * relay_module.REFUSED_MOST)
+    making = sending(relay)
+    making.put(step(1))
+    until(lambda: cleared(relay) == [1], "the call")
+
+
+def test_a_connection_closed_as_idle_is_seen_before_a_call_is_sent_into_it(relay):
+    """Sent into a closed connection a call is in doubt, though it never arrived."""
+    making = sending(relay)
+    making.put(step(1))
+    until(lambda: cleared(relay) == [1] and making.counts["calls"], "the first call")
+    relay.drop()
+    until(lambda: not relay.open, "the end")
+    making.put(step(2))
+    until(lambda: cleared(relay) == [1, 2], "the second call")
+    assert making.counts["again"] == 0 and making.counts["dials"] == 2
+
+
+def test_a_connection_without_calls_is_kept_from_being_closed_as_idle(relay, monkeypatch):
+    """Dialling anew for a withdrawal costs it a round trip, and the relay may take no new connections."""
+    monkeypatch.setattr(relay_module, "IDLE_S", 0.02)
+    making = sending(relay)
+    making.put(step(1))
+    until(lambda: [orders for _, orders in relay.lines].count([]) >= 3, "calls without orders")
+    assert making.counts["dials"] == 1 and cleared(relay) == [1]
+
+
+def test_the_next_call_goes_to_the_new_address_and_none_is_lost(relay):
+    other = Relay()
+    making = sending(relay)
+    making.put(step(1))
+    until(lambda: cleared(relay) == [1], "the first call")
+    making.move(other.address)
+    making.put(step(2))
+    until(lambda: cleared(other) == [2], "the second call")
+    assert cleared(relay) == [1]
+    other.close()
+
+
+def test_calls_wait_while_the_relay_is_out_of_reach(relay):
+    place = relay.address
+    relay.close()
+    told = []
+    making = Calls(place, list(NAMES.routes), told.append)
+    making.put(step(1, mark=5))
+    making.put(step(2, mark=6))
+    threading.Thread(target=making.run, daemon=True).start()
+    until(lambda: not making.reached, "a vain try")
+    other = Relay()
+    making.move(other.address)
+    until(lambda: cleared(other) == [1, 2], "both calls")
+    assert len(other.lines) == 1 and told == [Merged(6, (5,))], "as one"
+    other.close()
+
+
+@contextlib.contextmanager
+def listening(relay):
+    found = []
+    news = News(relay.address, NAMES, found.extend)
+    threading.Thread(target=news.run, daemon=True).start()
+    yield news, found
+
+
+def test_news_begin_with_who_is_joined(relay):
+    relay.attach(1)
+    with listening(relay) as (_, found):
+        until(lambda: Ping() in found, "a sign of life")
+        assert type(found[0]) is Begun and found[1] == api.ProxyJoined(1, True, 10.0, 0)
+        relay.tell("detach", node=1)
+        relay.tell("done", node=1, nonce=5, latency=2.5)
+        relay.tell("done", node=99, nonce=5, latency=2.5)  # nobody: dropped
+        relay.tell("detach", node=2)
+        until(lambda: api.ProxyLeft(2) in found, "the last of them")
+        rest = [event for event in found[2:] if type(event) is not Ping]
+        assert rest == [api.ProxyLeft(1), api.Applied(1, 5, 2500), api.ProxyLeft(2)]
+
+
+def test_news_that_fall_silent_break_off_or_cannot_be_read_are_asked_for_anew(relay, monkeypatch):
+    monkeypatch.setattr(relay_module, "SILENT_S", 0.5)
+    with listening(relay) as (news, found):
+        until(lambda: Ping() in found, "a sign of life")
+        relay.silent = True
+        until(lambda: news.streams == 2, "a second stream after silence")
+        relay.silent = False
+        relay.drop()
+        until(lambda: news.streams == 3, "a third after a break")
+        relay.readers[-1].sendall(b"\x00\x01nonsense\n")
+        until(lambda: news.streams == 4, "a fourth after nonsense")
+        assert [type(event) for event in found].count(Begun) == 4
+
+
+def test_news_are_taken_up_at_a_new_address(relay):
+    other = Relay()
+    other.attach(2)
+    with listening(relay) as (news, found):
+        until(lambda: Ping() in found, "a sign of life")
+        news.move(other.address)
+        until(lambda: api.ProxyJoined(2, True, 10.0, 0) in found, "who is joined there")
+    other.close()
--- /dev/null
+++ b/tests/node/test_watch.py
@@ -0,0 +1,86 @@
+"""Following discovery against a stand-in of it."""
+
+import threading
+import time
+
+import pytest
+
+from rainpick import interface as api
+from rainpick.http1.server import Answer
+from rainpick.node import watch as watch_module
+from rainpick.node.watch import Watch
+from tests.node.platform import NAMES, Discovery, entry, until
+
+
+@pytest.fixture
+def discovery():
+    made = Discovery(entry(1), entry(2))
+    yield made
+    made.close()
+
+
+def following(discovery):
+    found = []
+    watch = Watch(discovery.address, NAMES, found.append)
+    threading.Thread(target=watch.run, daemon=True).start()
+    return watch, found
+
+
+def states(found):
+    return [{one.address: one.state for one in news.servers} for news in found]
+
+
+def test_the_whole_list_then_changes(discovery):
+    _, found = following(discovery)
+    until(lambda: found, "the list")
+    discovery.change(entry(1, "Terminating"))
+    until(lambda: len(found) == 2, "the change")
+    discovery.change(entry(1, "Gone"), entry(3, started_ms=5))
+    until(lambda: len(found) == 3, "the next")
+    assert [news.full for news in found] == [True, False, False]
+    assert states(found) == [{"s-0001": api.READY, "s-0002": api.READY}, {"s-0001": api.DRAINING},
+                             {"s-0001": api.GONE, "s-0003": api.READY}]
+
+
+def test_a_watch_is_armed_again_at_once_and_tells_nothing_twice(discovery, monkeypatch):
+    """Within 200 ms, or what changes meanwhile counts as told and the next one begins anew."""
+    monkeypatch.setattr(watch_module, "HOLD_MS", 50)
+    watch, found = following(discovery)
+    begin = time.monotonic()
+    until(lambda: watch.answers == 11, "ten watches")
+    assert time.monotonic() - begin < 10 * 0.2 and len(found) == 1
+
+
+@pytest.mark.parametrize("odd", [
+    Answer(503, b""), Answer(200, b"{"), Answer(200, b"[]"), Answer(200, b'{"generation":"x"}'),
+    Answer(200, b'{"generation":1,"reset":true,"instances":' + b"[" * 50_000),
+])
+def test_an_answer_that_cannot_be_used_is_asked_for_again(discovery, odd):
+    discovery.odd = [odd, odd]
+    watch, found = following(discovery)
+    until(lambda: found, "the list")
+    assert watch.failed == 2 and len(states(found)[0]) == 2
+
+
+def test_silence_is_ended_a_little_after_the_hold(discovery, monkeypatch):
+    """A discovery that is cut off is silent for good: the watch must not wait for it."""
+    monkeypatch.setattr(watch_module, "HOLD_MS", 100)
+    monkeypatch.setattr(watch_module, "SLACK_S", 0.2)
+    watch, found = following(discovery)
+    until(lambda: found, "the list")
+    with discovery.changed:  # nobody gets an answer meanwhile
+        until(lambda: watch.failed, "the end of the wait")
+    discovery.change(entry(1, "Terminating"))
+    until(lambda: len(found) == 2, "what changed")
+
+
+def test_another_address_is_taken_up_in_the_middle_of_a_watch(discovery, monkeypatch):
+    monkeypatch.setattr(watch_module, "HOLD_MS", 60_000)
+    other = Discovery(entry(1), entry(2))
+    other.change(entry(2, "Terminating"))
+    watch, found = following(discovery)
+    until(lambda: found and len(discovery.asked) == 2, "a watch that waits")
+    watch.move(other.address)
+    until(lambda: len(found) == 2, "what is new there")
+    assert states(found)[1] == {"s-0002": api.DRAINING} and watch.failed == 1
+    other.close()
