A cut-off zone is ejected as one, from the reports of one bucket put together

Checked: reports by zone of proxies and servers. At 13.8 s what had come in the bucket was 16 of 30 dropped in the cut zone (3 of its 4 servers heard of) and 0 of 68 elsewhere. Two buckets held 20 of 103: too thin, so one bucket is looked at. At fault: balance.judge looks at each server for itself alone.

Change: judge ejects a zone when most of its servers heard of in this bucket, three at least, fail beyond chance while the rest answers. Also: a proxy that joins again unseen keeps its lines counted as waiting (a break in the news tells all as joining).

--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -44,6 +44,7 @@
 QUICK, LOST = 2, 0.85  # broken, not overrun: answers the rest in such times the fleet's, or drops so
 SILENT_TRIES, SILENT_PERIODS = 8, 2  # silent: so many tries were due over so many rounds, and none ended
 EJECT_MOST, DEAD_MOST = 0.34, 0.6  # parts of the listed weight: ejected at most; and if it answers nothing
+CUT_SERVERS = 3  # so many servers of a zone, and most of those heard of: all of it is cut off
 TRIAL_TRIES = 3  # back on the ramp it goes again if it drops more than half of so many tries
 
 OVERRUN_TRIES, OVERRUN_TIME, OVERRUN_SLO = 4, 1.6, 0.6  # tries, times the fleet's time, part of the SLO time
@@ -218,8 +219,12 @@
         self.orders += [api.Subscribe(True)] if event.token == 1 else []
 
     def joined(self, event):
+        before, proxy = self.proxies.get(event.proxy), Proxy(event, self.now)
         self.left(event)
-        self.proxies[event.proxy] = self.loose.proxies[event.proxy] = Proxy(event, self.now)
+        if before:  # nobody saw it leave, if it did: what it was written may wait in the channel yet
+            proxy.unread, proxy.tokens, proxy.filled_us = before.unread, before.tokens, before.filled_us
+            self.waiting += sum(lines for _, lines in proxy.unread)
+        self.proxies[event.proxy] = self.loose.proxies[event.proxy] = proxy
         self.urgent = True
 
     def left(self, event):
@@ -319,6 +324,7 @@
         weight, laid = sum(held.entry.weight for held in ready), sum(held.laid() for held in seen) or 1.0
         calm = self.load <= JAM and self.answering >= CALM
         out = weight - sum(held.entry.weight for held in seen)
+        cut = self.cut(seen)
         for held in sorted(seen, key=lambda held: -seen[held][1]):
             tries, dropped, _ = seen[held]
             usual = max(0, all_dropped - dropped) / max(1, all_tries - tries)
@@ -334,12 +340,38 @@
             due = held.laid() / laid * all_tries * quiet_us / (RING * self.bucket_us)
             if quiet_us > SILENT_PERIODS * round_us and due > SILENT_TRIES and calm:
                 failing = dead = True
+            if held.entry.zone == cut and held.back_us is None:
+                failing = dead = True
             most = 0 if self.load > JAM else DEAD_MOST if dead else EJECT_MOST
             if failing and out + held.entry.weight <= weight * most:
                 out += held.entry.weight
                 held.eject_until = self.now + TICK_US * 2 ** min(held.relapses, 3)
                 held.relapses, held.back_us = held.relapses + 1, None
 
+    def cut(self, seen):
+        """The zone most of whose servers drop lately while the rest answers, or None.
+
+        It guards against a zone that is cut off: reports tell of the time before, too, so that for seconds no
+        server has dropped enough for itself. What came in this very bucket shows it when put together.
+        """
+        rows = defaultdict(list)
+        for held in seen:
+            tries, lost, _ = held.drops.sums(self.bucket, 1)
+            if tries:
+                rows[held.entry.zone].append((tries, lost))
+        sums = {zone: [sum(column) for column in zip(*rows[zone], strict=True)] for zone in rows}
+        for zone, (tries, lost) in sums.items():
+            others, theirs = (sum(column) - own for column, own in
+                              zip(zip(*sums.values(), strict=True), (tries, lost), strict=True))
+            usual = theirs / max(1, others)
+            failing = sum(lost > EJECT_SHARE * tries for tries, lost in rows[zone])
+            sure = lost - usual * tries > SURE * (tries * usual * (1 - usual) + 1) ** 0.5
+            if (sure and lost >= 2 * EJECT_DROPS and lost - usual * tries > EJECT_SHARE * tries
+                    and 2 * failing > len(rows[zone]) and failing >= CUT_SERVERS and others > tries
+                    and usual < 1 - CALM):
+                return zone
+        return None
+
     def search(self):
         """A list may be wrong: what it dropped stays while it answers, where the rules allow it.
 
