--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -25,6 +25,7 @@
 BEAT_US = TICK_US // 8  # how often what was put off is looked at again
 FIRST_STEP, STEP = 0.25, 0.25  # back from a drain or an ejection: the first percentage, the points per tick
 RING, RECENT = 4, 2  # buckets of evidence; of how things are now: the time in which every line is reported
+FORGET_TICKS, PAST = 30, 4096  # a server gone so long is forgotten, but for that it is shut: of so many
 MISSING = 3  # the list dropped it, yet it need not be withdrawn
 
 SHARERS, LINES = 7, 2.5  # proxies to a table, or there is one for all; its lines, in standing tables
@@ -100,6 +101,7 @@
         self.entry, self.state = entry, GONE
         self.tables, self.part, self.warm = [], 0.0, True  # that hold it; its percentage; if it is not cold
         self.shut, self.told = False, {}  # as proxies were told: if withdrawn; its weight by table
+        self.gone_ticks = 0  # how long it has been gone
         self.doubted = False  # gone by a list that may be wrong, never seen to drain
         self.fresh()
 
@@ -161,6 +163,7 @@
     def start(self, event):
         self.settings = event.settings
         self.servers, self.proxies, self.slices, self.far = {}, {}, {}, {}
+        self.past = {}  # servers forgotten that proxies were told to shut out, the newest last
         self.tables, self.loose, self.due = [], Table(None), []
         self.mark, self.next_tick, self.next_beat = 0, self.now, self.now
         self.burst = max(1.0, BURST * (self.get("proxies.pushes_allowed", 0) - 1))
@@ -188,7 +191,10 @@
         if event.kind == api.FAILED:
             return self.orders.append(api.SetTimer(1, TICK_US))
         for entry in event.servers:
+            if entry.state == GONE and entry.address in self.past:
+                continue
             held = self.servers.setdefault(entry.address, State(entry))
+            held.shut = held.shut or self.past.pop(entry.address, False)
             if entry.state == GONE:
                 self.drop(held)
                 continue
@@ -705,6 +711,14 @@
 
     def tick(self):
         """What is looked at once a tick."""
+        for address, held in list(self.servers.items()):
+            # Servers are replaced all day: what is held of those that left must not grow, nor a step with it.
+            held.gone_ticks = held.gone_ticks + 1 if held.state == GONE and not held.tables else 0
+            if held.gone_ticks > FORGET_TICKS:
+                del self.servers[address]
+                self.past[address] = True
+        while len(self.past) > PAST:
+            del self.past[next(iter(self.past))]
         self.next_tick, self.due = self.now + TICK_US, list(self.servers.values())
         for held in self.servers.values():
             if held.eject_until and self.now >= held.eject_until:
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -1,5 +1,6 @@
 """What the module reckons and no scenario can see."""
 
+from rainpick import balance
 from rainpick import interface as api
 from rainpick.balance import Director
 
@@ -35,3 +36,38 @@
     assert director.waiting == 0
     director.step(200_000, [api.Applied(1, mark, 0)])
     assert director.waiting == 0
+
+
+def replaced(director, now, old, new):
+    """A server drains, is gone, and another one takes its place; the clock after a tick or so."""
+    def listed(name, state, started):
+        return api.Listed(api.DELTA, (api.Server(1.0, 0, started, 0, 0, name, state),), 2)
+
+    found = []
+    for change in (listed(old, api.DRAINING, 0), listed(old, api.GONE, 0), listed(new, api.READY, now)):
+        orders = director.step(now, [change, api.TimerDue(0)])
+        marks = [api.Applied(1, order.number, 0) for order in orders if type(order) is api.Mark]
+        found += orders + director.step(now + 300_000, marks)
+        now += 1_000_000
+    return now, found
+
+
+def test_servers_long_gone_are_forgotten_but_for_being_shut_out(monkeypatch):
+    """Two thousand replaced servers made each step four times as dear; the relay keeps them shut out, so one
+    that comes back under its old id has to be readmitted, or nobody would ever use it again."""
+    monkeypatch.setattr(balance, "PAST", 20)
+    director, mark = begun()
+    now, found = 1_000_000, director.step(500_000, [api.Applied(1, mark, 0)])
+    for number in range(100):
+        now, found = replaced(director, now, "abcd"[number] if number < 4 else f"s{number - 4}", f"s{number}")
+        assert len(director.servers) <= 4 + 1 + balance.FORGET_TICKS
+    assert len(director.past) == 20
+    last = list(director.past)[-1]
+    now, found = replaced(director, now, "s98", last)
+    for _ in range(12):
+        now += 1_000_000
+        orders = director.step(now, [api.TimerDue(0)])
+        found += orders
+        director.step(now + 300_000, [api.Applied(1, order.number, 0) for order in orders
+                                      if type(order) is api.Mark])
+    assert api.Withdraw(last, False) in found and last not in director.past
