--- a/tests/node/test_codec.py
+++ b/tests/node/test_codec.py
@@ -107,7 +107,8 @@
 
 
 @pytest.mark.parametrize("text", [
-    b'{"t":NaN}', b'{"t":Infinity}', b'{"a":' + b"[" * 100_000, b'{"a":1' + b"0" * 5000,
+    b'{"t":"hb","a":NaN', b'{"t":"hb","a":-Infinity', b'{"t":"hb","a":' + b"[" * 100_000,
+    b'{"t":"hb","a":1' + b"0" * 5000, b'{"t":"hb","a":"\xff"',
 ])
 def test_what_is_not_strict_json_ends_a_collector_without_a_word(text):
     """Nothing is ever written to a collector; deep nesting and endless numbers must not trip the reader."""
--- a/tests/node/test_door.py
+++ b/tests/node/test_door.py
@@ -7,6 +7,7 @@
 import pytest
 
 from rainpick import interface as api
+from rainpick.net.streams import Listener
 from rainpick.node import door as door_module
 from rainpick.node.codec import ALIVE
 from rainpick.node.door import Door
@@ -144,3 +145,21 @@
         door.listener.socket = Short()
         Peer(door.address).close()  # the accept under way is the real one's
         assert Peer(door.address).send({"t": "hb"}).answer(len(ALIVE)) == ALIVE and len(failed) == 3
+
+
+def test_a_peer_that_is_reset_while_it_is_let_in_does_not_end_the_front():
+    """Its socket takes no option any more: the error ended the accepting thread, and with it every front."""
+    let_in = []
+
+    def give(sock, peer):
+        let_in.append(sock)
+        if len(let_in) == 1:
+            raise OSError(22, "Invalid argument")
+
+    listener = Listener(("127.0.0.1", 0), 8, give)
+    listener.thread.start()
+    assert Peer(listener.address).read() == b"", "it is closed"
+    second = Peer(listener.address)
+    until(lambda: len(let_in) == 2, "the next peer")
+    second.close()
+    listener.close()
