--- a/tests/loopback/help.py
+++ b/tests/loopback/help.py
@@ -10,6 +10,7 @@
 from rainpick.sasp.codec import Group, Member, Members, MemberState, Registration, States
 from rainpick.settings import parse
 from rainpick.standins.sasp_client import SaspClient
+from tests.waiting import WAIT_S
 
 TEXT = """{
   director: {settle: "100ms"%(director)s},
@@ -19,7 +20,6 @@
   proxies: {count: 1}, // one table for all
   %(more)s
 }"""
-WAIT_S = 10.0
 FLEET = Group("rainpick", "servers")
 KEPT = []  # streams that nobody holds must not close before the test ends
 
@@ -38,15 +38,6 @@
     assert daemon.core.failure is None, daemon.core.failure
 
 
-def until(ready, what="it"):
-    """Wait for something that is sure to come."""
-    end = time.monotonic() + WAIT_S
-    while not (found := ready()):
-        assert time.monotonic() < end, f"{what} did not come within {WAIT_S} s"
-        time.sleep(0.005)
-    return found
-
-
 def status(daemon):
     client = Client(*daemon.status)
     code, _, body = client.call("GET", "/status")
--- a/tests/loopback/test_daemon.py
+++ b/tests/loopback/test_daemon.py
@@ -15,7 +15,8 @@
 from rainpick.settings import SettingsError
 from rainpick.standins.day import free_ports
 from rainpick.standins.sasp_client import SaspClient
-from tests.loopback.help import FLEET, MemberEnd, ProxyEnd, members, running, status, until
+from tests.loopback.help import FLEET, MemberEnd, ProxyEnd, members, running, status
+from tests.waiting import until
 
 FULL = 4096  # weight 1 of at most 16 in 16 bits
 
--- a/tests/loopback/test_mqtt.py
+++ b/tests/loopback/test_mqtt.py
@@ -16,8 +16,9 @@
 from rainpick.publish.follow import Follower
 from rainpick.publish.payloads import Change, Met, Orders, Presence, Trouble, Whole, read_down
 from rainpick.standins.mqtt_client import MqttProxy
-from tests.loopback.help import KEPT, MemberEnd, ProxyEnd, status, until
+from tests.loopback.help import KEPT, MemberEnd, ProxyEnd, status
 from tests.loopback.help import running as plainly
+from tests.waiting import until
 
 FULL = 4096
 S = 1_000_000_000
--- a/tests/loopback/test_otlp.py
+++ b/tests/loopback/test_otlp.py
@@ -17,7 +17,8 @@
 from rainpick.http1.client import Client
 from rainpick.http1.server import BodyError, unpack
 from rainpick.otlp import metrics
-from tests.loopback.help import MemberEnd, ProxyEnd, running, status, until
+from tests.loopback.help import MemberEnd, ProxyEnd, running, status
+from tests.waiting import until
 
 KIND = ("content-type", "application/x-protobuf")
 S = 1_000_000_000
--- a/tests/node/platform.py
+++ b/tests/node/platform.py
@@ -9,8 +9,8 @@
 from rainpick.http1.server import Answer, Server
 from rainpick.node.codec import LineReader, frame
 from rainpick.node.configuration import Names
+from tests.waiting import WAIT_S
 
-WAIT_S = 10.0
 NAMES = Names({"a": 0, "b": 1}, {"lookup": 0, "commit": 1}, {"m1": 0, "m2": 1}, ("util", "queue"), 6, 4000.0)
 SETTINGS = {
     "grades": [
@@ -26,15 +26,6 @@
 }
 
 
-def until(ready, what="it"):
-    """Wait for something that is sure to come."""
-    end = time.monotonic() + WAIT_S
-    while not (found := ready()):
-        assert time.monotonic() < end, f"{what} did not come within {WAIT_S} s"
-        time.sleep(0.005)
-    return found
-
-
 def entry(number, state="Ready", started_ms=0, **more):
     return {"instanceId": f"s-{number:04x}", "hostPort": f"127.0.0.1:{9000 + number}",
             "zone": "ab"[number % 2], "machineType": "m1", "cell": 0, "lifecycle": state, "weight": 1.0,
--- a/tests/node/test_door.py
+++ b/tests/node/test_door.py
@@ -12,7 +12,8 @@
 from rainpick.node.codec import ALIVE
 from rainpick.node.door import Door
 from rainpick.node.inbox import Inbox
-from tests.node.platform import NAMES, Peer, until
+from tests.node.platform import NAMES, Peer
+from tests.waiting import until
 
 LATEST_S = 3.0  # the platform's: by then whoever does not join has been closed or rejected
 
--- a/tests/node/test_node.py
+++ b/tests/node/test_node.py
@@ -12,7 +12,8 @@
 import pytest
 
 from rainpick.node.codec import ALIVE
-from tests.node.platform import Discovery, Peer, Relay, configuration, entry, until
+from tests.node.platform import Discovery, Peer, Relay, configuration, entry
+from tests.waiting import until
 
 
 def free_place():
@@ -25,7 +26,10 @@
         self.discovery, self.relay = Discovery(*map(entry, range(6))), Relay()
         self.listen, self.path, self.log = free_place(), folder / "config.json", folder / "log"
         self.tell()
-        with self.log.open("wb") as log:
+        self.start()
+
+    def start(self):
+        with self.log.open("ab") as log:
             self.process = subprocess.Popen([sys.executable, "-m", "rainpick.node"], stderr=log,
                                             env=os.environ | {"PROXY_CONFIG": str(self.path)})
         until(self.answers, "a sign of life")
@@ -116,6 +120,23 @@
     assert node.process.wait(5) == 0 and time.monotonic() - begin < 0.7
 
 
+def test_a_killed_director_begins_again_from_nothing(node):
+    """Its address may still have connections of its former life; what it knew comes from the configuration,
+    and who is joined from the relay."""
+    for proxy in range(6):  # all there are
+        node.relay.attach(proxy)
+    until(lambda: bound(node.relay) == list(range(6)), "all tables")
+    collector = Peer(node.listen).send({"t": "telemetry", "locality": "a"})
+    node.process.kill()
+    node.process.wait()
+    node.discovery.close()  # out of reach: only the list in the configuration is left
+    node.relay.carried.clear()
+    node.start()
+    until(lambda: bound(node.relay) == list(range(6)), "all tables again")
+    assert {order["endpoint"] for order in node.relay.orders("share")} == {"s-0000", "s-0001"}
+    collector.close()
+
+
 def test_a_thread_that_fails_ends_the_whole_process(tmp_path):
     """A director that looks alive and decides nothing is worse than none."""
     text = "import rainpick.node.__main__ as node\nnode.loudly(lambda: 1 / 0)"
--- a/tests/node/test_relay.py
+++ b/tests/node/test_relay.py
@@ -10,7 +10,8 @@
 from rainpick.node.belief import Begun, Told
 from rainpick.node.codec import Merged, Ping, call
 from rainpick.node.relay import Calls, News
-from tests.node.platform import NAMES, Relay, until
+from tests.node.platform import NAMES, Relay
+from tests.waiting import until
 
 
 @pytest.fixture
--- a/tests/node/test_watch.py
+++ b/tests/node/test_watch.py
@@ -9,7 +9,8 @@
 from rainpick.http1.server import Answer
 from rainpick.node import watch as watch_module
 from rainpick.node.watch import Watch
-from tests.node.platform import NAMES, Discovery, entry, until
+from tests.node.platform import NAMES, Discovery, entry
+from tests.waiting import until
 
 
 @pytest.fixture
--- a/tests/record/test_exchange.py
+++ b/tests/record/test_exchange.py
@@ -25,8 +25,8 @@
     write_step,
 )
 from rainpick.store import Log, Record, read
-from tests.loopback.help import until
 from tests.record.test_replay import LIFE_, lived
+from tests.waiting import until
 
 
 def records(folder):
--- a/tests/record/test_replay.py
+++ b/tests/record/test_replay.py
@@ -28,7 +28,8 @@
 )
 from rainpick.store import Log, read
 from tests.director.drive import Drive, server
-from tests.loopback.help import MemberEnd, ProxyEnd, running, status, until
+from tests.loopback.help import MemberEnd, ProxyEnd, running, status
+from tests.waiting import until
 
 LIFE_ = Life(0, "e", "m", 1_000_000, 0, {})
 
