The core has its tests: reports that name nobody, what leaves as a call, the clock

Read again: a report of a server that nobody listed is dropped in the core, a hard case, and no test failed without that; nor did one for the clock, for orders that the relay does not know, or for stepping when nothing came. `Known` in core.py was used by nobody and is gone.

--- a/rainpick/node/core.py
+++ b/rainpick/node/core.py
@@ -4,7 +4,6 @@
 
 import time
 from collections.abc import Callable
-from typing import NamedTuple
 
 from rainpick import interface as api
 from rainpick.balance import Director
@@ -25,13 +24,6 @@
     return lambda: (time.monotonic_ns() + offset) // 1000
 
 
-class Known(NamedTuple):
-    """An answer of discovery, or the list that the configuration holds (``kind`` CACHED)."""
-
-    news: Members
-    kind: int | None = None
-
-
 class Core:
     """``send`` is handed the calls of each step."""
 
--- /dev/null
+++ b/tests/node/test_core.py
@@ -0,0 +1,70 @@
+"""The core: what reaches the module, what of its orders leaves, and by which clock."""
+
+import json
+import time
+
+from rainpick import interface as api
+from rainpick.node.codec import Call, members
+from rainpick.node.configuration import read
+from rainpick.node.core import Core, clock_maker
+from rainpick.node.inbox import Inbox
+from tests.node.platform import NAMES, configuration, entry
+
+PLACE = ("127.0.0.1", 1)
+
+
+class Module:
+    """A double of the module: it notes what it hears and gives the orders that it is told to."""
+
+    def __init__(self):
+        self.heard, self.orders = [], []
+
+    def step(self, now, events):
+        self.heard += events
+        return self.orders
+
+
+def core(tmp_path):
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(configuration(PLACE, PLACE, PLACE)))
+    known = members({"generation": 0, "reset": True, "instances": [entry(1)]}, NAMES)
+    sent = []
+    made = Core(read({"PROXY_CONFIG": str(path)}), known, Inbox(), sent.append, Module)
+    made.step(made.clock())
+    return made, made.stepper.director, sent
+
+
+def test_a_report_of_a_server_that_nobody_listed_is_dropped_and_counted(tmp_path):
+    """Spoilt, it names nobody, and would count among what the fleet answers and drops."""
+    made, module, _ = core(tmp_path)
+    told, spoilt = (api.ServerMet(name, 0, 5, 5, 0, 500_000, ()) for name in ("s-0001", "s-ffff"))
+    made.turn([], [spoilt, told, api.ProxyMet(1, 0, 3, 0, 500_000)])
+    assert module.heard[2:] == [told, api.ProxyMet(1, 0, 3, 0, 500_000)] and made.unknown == 1
+    made.turn([members({"generation": 1, "reset": False, "instances": [entry(0xFFFF)]}, NAMES)], [spoilt])
+    assert module.heard[-1] == spoilt and made.unknown == 1, "listed in the same turn it is known"
+
+
+def test_only_what_the_relay_knows_leaves_as_a_call(tmp_path):
+    made, module, sent = core(tmp_path)
+    module.orders = [api.Subscribe(True), api.Note("x"), api.SetTimer(0, 1000)]
+    made.turn([], [api.ProxyMet(1, 0, 3, 0, 500_000)])
+    assert sent == [], "no call without an order"
+    module.orders = [api.Subscribe(True), api.Withdraw("s-0001", True), api.Mark(3, False)]
+    made.turn([], [api.ProxyMet(1, 0, 3, 0, 500_000)])
+    assert sent == [Call(api.Mark(3, False), (api.Withdraw("s-0001", True),))]
+
+
+def test_nothing_is_stepped_when_nothing_came(tmp_path):
+    made, _, _ = core(tmp_path)
+    steps = made.stepper.steps
+    made.turn([], [])
+    assert made.stepper.steps == steps
+
+
+def test_the_clock_is_unix_time_and_never_runs_backwards(monkeypatch):
+    """Servers' starts are told in Unix time; a machine whose clock is set must not undo a ramp."""
+    clock = clock_maker()
+    assert abs(clock() - time.time_ns() // 1000) < 5_000_000
+    before = clock()
+    monkeypatch.setattr(time, "time_ns", lambda: 0)
+    assert clock() >= before
