Who is let go at the door can't join any more, and a descriptor is free only after its reader

Now who is chosen is struck off under the same lock.

Stream.close closed the socket while its reading thread could stand just before recv: the number was free for the next accept, and the reader would have read that peer's bytes. The descriptor is now freed by whoever of the two is done last.

--- a/rainpick/net/streams.py
+++ b/rainpick/net/streams.py
@@ -41,13 +41,19 @@
         self.rest = bytearray()  # what the socket has not taken yet
         self.handed = 0  # bytes written in all, the rest included
         self.marks: deque[tuple[int, int]] = deque()  # (bytes handed by then, number of the message)
-        self.closed = False
+        self.closed = self.reading = False
+        self.ending = threading.Lock()
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER)
 
     def start(self) -> None:
         """Begin to read. Not a ``Thread``: starting one waits for it, and hundreds dial at once."""
-        _thread.start_new_thread(self.read, ())
+        self.reading = True
+        try:
+            _thread.start_new_thread(self.read, ())
+        except RuntimeError:
+            self.reading = False
+            raise
 
     def read(self) -> None:
         try:
@@ -64,6 +70,11 @@
             self.give(self, Ended(b"", flaw.strerror or type(flaw).__name__))
         except Exception as flaw:  # whatever its bytes trip costs this peer alone
             self.give(self, Ended(b"", f"{type(flaw).__name__}: {flaw}"))
+        finally:
+            with self.ending:
+                self.reading = False
+                if self.closed:
+                    self.sock.close()
 
     # For the core alone
 
@@ -111,14 +122,19 @@
         return newest
 
     def close(self) -> None:
-        """End it; the reader notices and closes nothing twice."""
-        if not self.closed:
+        """End it. Its descriptor is freed once the reader is done as well: the next peer may get the same
+        number, and a reader that was about to use it would take that peer's bytes.
+        """
+        with self.ending:
+            if self.closed:
+                return
             self.closed = True
             with contextlib.suppress(OSError):
                 if self.rest:  # a peer that does not read would keep an ordinary end waiting in the kernel
                     self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
                 self.sock.shutdown(socket.SHUT_RDWR)
-            self.sock.close()
+            if not self.reading:
+                self.sock.close()
 
 
 class Listener:
--- a/rainpick/node/door.py
+++ b/rainpick/node/door.py
@@ -41,14 +41,21 @@
         with self.lock:
             self.counts["accepted"] += 1
             self.strangers[stream] = time.monotonic() + STRANGER_S
-            full = next(iter(self.strangers)) if len(self.strangers) > self.most else None
-        if full is not None:
-            self.let_go(full)
+            full = [next(iter(self.strangers))] if len(self.strangers) > self.most else []
+            self.shut_out(full)
+        for other in full:
+            other.close()
         try:
             stream.start()
         except RuntimeError:  # no thread is to be had
             self.let_go(stream)
 
+    def shut_out(self, strangers: list[Stream]) -> None:
+        """With the lock held: from here on none of them can join; one that had just joined was closed."""
+        for stream in strangers:
+            del self.strangers[stream]
+        self.counts["let_go"] += len(strangers)
+
     def let_go(self, stream: Stream) -> None:
         with self.lock:
             known = self.strangers.pop(stream, None) or self.collectors.pop(stream, None)
@@ -60,8 +67,9 @@
         now = time.monotonic()
         with self.lock:
             late = [stream for stream, end in self.strangers.items() if end <= now]
+            self.shut_out(late)
         for stream in late:
-            self.let_go(stream)
+            stream.close()
 
     def came(self, stream: Stream, found: object) -> None:
         kind = type(found)
