A cold server gets no more than its part of all calls from tables of busy proxies

Ruled out: a late list or call (nothing waited at 17.16 s), a percentage above the guard's (0.63 at 8.2 s), the warm weight lost at 17.0 s (the cold part was halved within 0.8 s; the excess is older).

At fault: balance.weight gave a cold server the same weight on each of its tables, whatever their proxies bring. Among 150 proxies with rates of their own one table's proxies brought four times the usual for its weight.

Change: uncrowd, part of the cold guard. What the proxies here would bring it by their figures is held under its part of all the calls of the fleet.

--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -7,7 +7,7 @@
 
 Beside the design stand these mechanisms (six at most):
 1. Paced channel: lines that wait and messages per proxy are counted; what the rules ask for goes first.
-2. Cold guard: the percentage of a server that started lately follows its listed start time.
+2. Cold guard: the percentage of a server that started lately follows its listed start time; its tables count.
 3. Ejection on evidence: what drops beyond chance or falls silent is shut out; a list may be doubted.
 4. Easing: a machine type or a server that is overrun beside the rest gets a lower percentage.
 5. Zones: where crossing is dear a table has servers of one zone, and of others only what the zone cannot do.
@@ -110,6 +110,7 @@
         self.drops, self.times = Ring(3), Ring(3)  # tries, dropped ones, microseconds of the answered ones
         self.eject_until, self.relapses, self.back_us = 0, 0, None  # since when it is back on the ramp
         self.health, self.eased_us, self.heard_us = 1.0, 0, 0
+        self.crowd = 1.0  # cold, it gets this part where its tables' proxies are busier than usual
 
     def laid(self):
         return self.entry.weight * self.part
@@ -527,7 +528,28 @@
 
     def weight(self, held, table):
         part = self.far[table.zone] if self.is_far(held, table) else 1
-        return held.laid() * part * (1 if held.warm else table.cold_part)
+        return held.laid() * part * (1 if held.warm else table.cold_part * held.crowd)
+
+    def uncrowd(self):
+        """A cold server gets no more from the proxies here than its part of all the calls of the fleet.
+
+        It guards against few proxies, some far busier than the rest: the tables of such sent a server that
+        had just started four times its part, and each director knows of its own proxies alone.
+        """
+        rates = {table: sum(proxy.rate for proxy in table.proxies.values()) for table in self.tables}
+        laid, rate = defaultdict(float), sum(proxy.rate for proxy in self.proxies.values())
+        for held in self.servers.values():
+            held.crowd = 1.0
+            for table in held.tables:
+                laid[table] += 0 if held.shut else self.weight(held, table)
+        usable = sum(held.laid() for held in self.servers.values() if not held.shut) or 1.0
+        usual = rate * max(1, self.expected / max(1, len(self.proxies))) / usable
+        for held in self.servers.values():
+            if held.part and not held.warm:
+                brought = sum(rates[table] * self.weight(held, table) / (laid[table] or 1.0)
+                              for table in held.tables)
+                fair = usual * held.laid()
+                held.crowd = fair / brought if brought > fair else 1.0
 
     def deal(self):
         """Put each server on its tables, those with the least of its type; fill up a table that got thin."""
@@ -604,6 +626,7 @@
             table.cold_part = min(1.0, mine / self.cold_part)  # the fleet's is in their percentage already
         self.spill()
         self.deal()
+        self.uncrowd()
         closing = [held for held in self.servers.values() if held.part <= 0 and not held.shut]
         # Ejections, and what only a list that may be wrong calls gone, leave room and a message to drains:
         # a queue that they had filled let drains in one by one, each with the heads of its messages.
