Signals only queue, lists and calls survive moves, and each crossing has a test that forces it

- SIGHUP set a threading.Event that the main thread waits on: a handler that runs while that thread holds the event's own lock waits for ever, no new configuration is heard again and strangers are never closed (__main__.run).
A probe that raises SIGHUP once before every line of the main thread stopped the text before in Event.set, called from within Event.clear.
Handlers now put into a SimpleQueue, which takes no lock that Python code can hold.
They stand from the first lines of the program on.
- A configuration that is half written was refused for good, another director's was taken, and other differences were silent.
It is read again for 5 s; another name is refused; what waits for a restart is logged.
Unchanged addresses move nothing.
- SIGTERM: what was ordered is said to the relay first, 0.3 s at most.
It ends with 0 while the program is still read.
- Watch.move interrupted a socket that might not exist yet: the old address was dialled and asked all the same.
Client.abort stands for good, dials take 0.2 s at most, and close and shutdown of one descriptor exclude each other.
- Watch.version outlived a move: an address that counts from a lower version was asked for what is newer than it had (probe: nothing told until it caught up).
After a move the whole list is asked for; an older one is believed after 2 s only; a change with an entry that can't be read is told by the whole list.
- Calls: keep-alives that were refused counted against the next call; a whole call was left out after five refusals, now only the order at fault; an answer that had come while the thread got no turn was not read; half a line behind an answer spoilt the next; what was ordered while the relay was away piled up.
- News: a stream that ended while the next was dialled made the reader ask for a third.

Ruled out by a test: a relay that closes between the look at the connection and the call, in the middle of its answer, two answers at once. test_watch: the changes since another address's version were asked for; it now wants its whole list.

--- a/rainpick/http1/client.py
+++ b/rainpick/http1/client.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import socket
+import threading
 import time
 
 import h11
@@ -21,10 +22,15 @@
 
 
 class Client:
-    """Calls one server. ``timeout_s`` is for a whole call, however slowly its pieces come."""
+    """Calls one server. ``timeout_s`` is for a whole call, however slowly its pieces come.
 
-    def __init__(self, host: str, port: int, timeout_s: float = 5.0, body_most: int = BODY_MOST):
-        self.place, self.timeout_s, self.body_most = (host, port), timeout_s, body_most
+    All but ``abort`` is for the one thread that calls. ``dial_s``: to connect, if not the time of a call.
+    """
+
+    def __init__(self, host: str, port: int, timeout_s: float = 5.0, body_most: int = BODY_MOST,
+                 dial_s: float | None = None):
+        self.place, self.timeout_s, self.body_most, self.dial_s = (host, port), timeout_s, body_most, dial_s
+        self.aborting, self.aborted = threading.Lock(), False
         self.sock: socket.socket | None = None
         self.machine: h11.Connection | None = None
 
@@ -33,12 +39,9 @@
         """Status, headers, body; ``ClientError`` if there is none in time."""
         sent, until = False, time.monotonic() + (timeout_s or self.timeout_s)
         try:
-            fresh = self.sock is None
-            if fresh:
-                self.sock = socket.create_connection(self.place, timeout_s or self.timeout_s)
-                self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                self.machine = h11.Connection(h11.CLIENT)
-            self.wait_until(until)
+            if self.sock is None or self.aborted:
+                self.dial(timeout_s or self.timeout_s)
+            self.sock.settimeout(max(1e-3, until - time.monotonic()))
             host, port = self.place
             fields = [("host", f"{host}:{port}"), ("content-length", str(len(body))), *headers]
             data = self.machine.send(h11.Request(method=method, target=path, headers=fields))
@@ -50,19 +53,28 @@
             self.close()
             raise ClientError("%s:%d: %s" % (*self.place, flaw or type(flaw).__name__), sent) from None
 
-    def wait_until(self, until: float) -> None:
-        left = until - time.monotonic()
-        if left <= 0:
-            raise TimeoutError("timed out")
-        self.sock.settimeout(left)
+    def dial(self, timeout_s: float) -> None:
+        sock = None if self.aborted else socket.create_connection(self.place, self.dial_s or timeout_s)
+        with self.aborting:
+            if self.aborted:
+                if sock is not None:
+                    sock.close()
+                raise ConnectionAbortedError("aborted")
+            self.sock = sock
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.machine = h11.Connection(h11.CLIENT)
 
     def read(self, until: float) -> tuple[int, dict[str, str], bytes]:
         status, headers, pieces, size = 0, {}, [], 0
         while True:
             event = self.machine.next_event()
             if event is h11.NEED_DATA:
-                self.wait_until(until)
-                data = self.sock.recv(PIECE)
+                # Once the time is up, what has come already is still read: this thread may have got no turn.
+                self.sock.settimeout(max(0.0, until - time.monotonic()))
+                try:
+                    data = self.sock.recv(PIECE)
+                except BlockingIOError:
+                    raise TimeoutError("timed out") from None
                 if not data and self.machine.their_state is h11.SEND_RESPONSE:
                     raise ConnectionResetError("closed before the answer")
                 self.machine.receive_data(data)
@@ -83,15 +95,17 @@
             elif isinstance(event, h11.ConnectionClosed):
                 raise ConnectionResetError("closed before the answer")
 
-    def interrupt(self) -> None:
-        """For another thread: end the call that waits, if one does."""
-        sock = self.sock
-        if sock is not None:
-            with contextlib.suppress(OSError):
-                sock.shutdown(socket.SHUT_RDWR)
+    def abort(self) -> None:
+        """For another thread, at any moment: the call that is under way fails, and so does any later one."""
+        with self.aborting:
+            self.aborted = True
+            if self.sock is not None:
+                with contextlib.suppress(OSError):
+                    self.sock.shutdown(socket.SHUT_RDWR)
 
     def close(self) -> None:
-        if self.sock is not None:
-            with contextlib.suppress(OSError):
-                self.sock.close()
-        self.sock = self.machine = None
+        with self.aborting:  # or the other thread would shut down whoever gets the same descriptor next
+            if self.sock is not None:
+                with contextlib.suppress(OSError):
+                    self.sock.close()
+            self.sock = self.machine = None
--- a/rainpick/node/codec.py
+++ b/rainpick/node/codec.py
@@ -260,12 +260,15 @@
         left = self.orders[taken - marked + refused:]
         return Call(self.mark, left) if left else None
 
-    def part(self, routes: list[str]) -> Call:
-        """As much of it as the relay takes in one call, the mark included; nearly always that is all."""
+    def part(self, routes: list[str], most: int | None = None) -> Call:
+        """As much of it as the relay takes in one call, the mark included; nearly always that is all.
+
+        ``most``: no more orders than that.
+        """
         size = 0
         for at, order in enumerate(self.orders):
             size += len(rendered(order, routes)) + 1
-            if size > CALL_MOST and at:
+            if at and (size > CALL_MOST or at == most):
                 return Call(self.mark, self.orders[:at])
         return self
 
--- /dev/null
+++ b/rainpick/node/process.py
@@ -0,0 +1,133 @@
+"""The process of a live director: its threads, its signals, its configuration read again."""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+import threading
+import traceback
+from collections.abc import Callable
+from queue import Empty, SimpleQueue
+
+from rainpick.node.codec import Members, members
+from rainpick.node.configuration import Configuration, ConfigurationError, read
+from rainpick.node.core import Core
+from rainpick.node.door import Door
+from rainpick.node.inbox import Inbox
+from rainpick.node.log import log
+from rainpick.node.relay import Calls, News
+from rainpick.node.watch import Watch
+
+STACK = 256 * 1024
+SWITCH_S = 0.001  # a drain that comes in while the core steps must not wait longer for its reading thread
+SWEEP_S = 0.2
+READ_AGAIN = 25  # times that a configuration is read, a sweep apart, if it can't be used: half of it, perhaps
+FINISH_S = 0.3  # for orders that are on their way when it is told to stop; the platform kills after 0.7 s
+
+
+def loudly(work: Callable[[], None]) -> None:
+    """A thread that ended would leave a director that looks alive and decides nothing: all ends with it."""
+    try:
+        work()
+    except BaseException:
+        traceback.print_exc()
+    os._exit(1)
+
+
+class Node:
+    """One director, its threads and its signals."""
+
+    def __init__(self, told: Configuration, signals: SimpleQueue):
+        self.told, self.signals, inbox = told, signals, Inbox()
+        self.door = Door(told.listen, told.names, told.sockets, inbox)
+        self.calls = Calls(told.relay, list(told.names.routes), inbox.put)
+        self.news = News(told.relay, told.names, lambda found: inbox.put(*found))
+        self.watch = Watch(told.discovery, told.names, inbox.put)
+        self.core = Core(told, known(told), inbox, self.calls.put)
+        self.core.status = self.figures
+        self.readings = 0  # of the configuration that are still to be tried
+
+    def figures(self) -> dict:
+        return {"door": self.door.status(), "calls": self.calls.counts,
+                "news_streams": self.news.streams,
+                "list_failed": self.watch.failed, "threads": threading.active_count()}
+
+    def run(self) -> None:
+        # Handlers only queue: whatever lock they took could be held by the very thread that they interrupt.
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            signal.signal(number, lambda number, _: self.signals.put(number))
+        for part in (self.core, self.calls, self.news, self.watch):
+            threading.Thread(target=loudly, args=(part.run,), name=type(part).__name__, daemon=True).start()
+        self.door.start()
+        log.info("serving", name=self.told.name, cores=self.told.cores, address="%s:%d" % self.door.address,
+                 cpu_s=round(sum(os.times()[:2]), 2))
+        while True:
+            try:
+                number = self.signals.get(timeout=SWEEP_S)
+            except Empty:
+                number = None
+            if number in (signal.SIGTERM, signal.SIGINT):
+                self.stop()
+            if number == signal.SIGHUP:
+                self.readings = READ_AGAIN
+            if self.readings:
+                self.reload()
+            self.door.sweep()
+
+    def reload(self) -> None:
+        """Take up new addresses; a file that can't be used leaves all as it is, and is soon read again."""
+        first, self.readings = self.readings == READ_AGAIN, self.readings - 1
+        try:
+            told = read(os.environ)
+            if told.name != self.told.name:
+                raise ConfigurationError(f"name: {told.name!r} is not {self.told.name!r}: another director's")
+        except ConfigurationError as flaw:
+            if first or not self.readings:
+                log.error("configuration refused", why=str(flaw), readings_left=self.readings)
+            return
+        self.readings = 0
+        log.info("configuration read again", discovery="%s:%d" % told.discovery, relay="%s:%d" % told.relay)
+        if differing := differences(self.told, told):
+            log.warning("settings wait for a restart", differing=differing)
+        if told.discovery != self.told.discovery:
+            self.watch.move(told.discovery)
+        if told.relay != self.told.relay:
+            self.calls.move(told.relay)
+            self.news.move(told.relay)
+        self.told = self.told._replace(discovery=told.discovery, relay=told.relay)
+
+    def stop(self) -> None:
+        """What was ordered already is said to the relay, if that is soon done: nobody else will say it."""
+        self.calls.finish(FINISH_S)
+        os.write(2, b"stopped\n")  # the log may be in the middle of a line
+        os._exit(0)
+
+
+def known(told: Configuration) -> Members:
+    """The list as it was last known; one that can't be read costs a start from nothing, not the start."""
+    try:
+        found = members(told.known, told.names)
+    except ValueError as flaw:
+        log.error("known list left out", why=str(flaw))
+        return Members(0, True, (), (), frozenset())
+    for flaw in found.flaws:
+        log.error("entry of the known list left out", why=flaw)
+    return found
+
+
+def differences(old: Configuration, new: Configuration) -> list[str]:
+    """What only a restart takes up, by name."""
+    fields = [name for name in ("listen", "cores", "sockets") if getattr(old, name) != getattr(new, name)]
+    names = sorted(old.settings.keys() | new.settings.keys())
+    return fields + [name for name in names if old.settings.get(name) != new.settings.get(name)]
+
+
+def start(signals: SimpleQueue) -> None:
+    threading.stack_size(STACK)
+    sys.setswitchinterval(SWITCH_S)
+    try:
+        node = Node(read(os.environ), signals)
+    except (ConfigurationError, OSError, ValueError) as flaw:
+        sys.exit(f"rainpick.node: {flaw}")
+    node.run()
--- a/rainpick/node/relay.py
+++ b/rainpick/node/relay.py
@@ -55,60 +55,88 @@
 
     def __init__(self, place: tuple[str, int], routes: list[str], tell: Callable[[Merged], None]):
         self.place, self.routes, self.tell, self.queue = place, routes, tell, queue.SimpleQueue()
+        self.waiting: list[Call] = []  # taken from the queue and not yet answered, the next one first
+        self.finishing: list[threading.Event] = []  # to be set once nothing waits
         self.sock: socket.socket | None = None
         self.dialled: tuple[str, int] | None = None
         self.lines, self.numbers, self.reached = LineReader(), count(1), True
         self.counts = {"calls": 0, "orders": 0, "again": 0, "busy": 0, "refused": 0, "dials": 0, "merged": 0}
-        self.refusals = 0  # of the call that is sent now, not for being busy
+        self.refusals = 0  # of the part that is sent now, not for being busy
+        self.most: int | None = None  # orders in a part, while one that the relay refuses is searched for
 
     def put(self, call: Call) -> None:
         self.queue.put(call)
 
+    def finish(self, most_s: float) -> None:
+        """For another thread: wait until all that was put has been sent and answered, but no longer."""
+        done = threading.Event()
+        self.queue.put(done)
+        done.wait(most_s)
+
     def move(self, place: tuple[str, int]) -> None:
         """For another thread: the next call goes there."""
         self.place = place
 
     def run(self) -> None:
-        waiting: list[Call] = []
         while True:
-            try:
-                waiting += [] if waiting else [self.queue.get(timeout=IDLE_S)]
-            except queue.Empty:
-                if self.sock is not None:
-                    self.turn(Call(None, ()))
-                continue
-            self.reach()
-            while not self.queue.empty():
-                waiting.append(self.queue.get())
-            if len(waiting) > 1:
-                self.counts["merged"] += len(waiting)
-                waiting, told = merged(waiting)
-                if told is not None:
-                    self.tell(told)
-            left = self.turn(waiting[0])
-            waiting[:1] = [] if left is None else [left]
-
-    def reach(self) -> None:
-        """Have a connection: what is ordered while there is none waits and goes as one."""
-        while self.sock is None or self.dialled != self.place or self.ended():
+            idle = not self.gather(0.0 if self.waiting else IDLE_S)
+            if not self.waiting:
+                while self.finishing:
+                    self.finishing.pop().set()
+                if idle and self.sock is not None:
+                    self.keep()
+            elif self.reach():
+                self.gather(0.0)
+                left = self.turn(self.waiting[0])
+                self.waiting[:1] = [] if left is None else [left]
+
+    def gather(self, wait_s: float) -> bool:
+        """Take what was put, if anything is within that time; what waits for the relay goes as one."""
+        taken = 0
+        try:
+            while True:
+                item = self.queue.get(wait_s > 0 and not taken, wait_s)
+                (self.waiting if type(item) is Call else self.finishing).append(item)
+                taken += 1
+        except queue.Empty:
+            pass
+        if taken and len(self.waiting) > 1:
+            self.counts["merged"] += len(self.waiting)
+            self.waiting, told = merged(self.waiting)
+            if told is not None:
+                self.tell(told)
+        return taken > 0
+
+    def reach(self) -> bool:
+        """Have a connection, or try once to get one."""
+        if self.sock is not None and self.dialled == self.place and not self.lines.rest and not self.ended():
+            return True
+        self.close()
+        self.dialled = self.place
+        try:
+            self.sock, self.lines = dial(self.dialled, DIAL_S), LineReader()
+        except OSError as flaw:
+            if self.reached:
+                self.reached = False
+                log.warning("relay out of reach", why=str(flaw))
+            time.sleep(AGAIN_S)
+            return False
+        self.counts["dials"] += 1
+        if not self.reached:
+            self.reached = True
+            log.info("relay reached again")
+        return True
+
+    def keep(self) -> None:
+        """A call without orders, so that the connection is not closed as idle; any answer will do."""
+        try:
+            self.send(Call(None, ()))
+        except NoAnswerError:
             self.close()
-            self.dialled = self.place
-            try:
-                self.sock, self.lines = dial(self.dialled, DIAL_S), LineReader()
-            except OSError as flaw:
-                if self.reached:
-                    self.reached = False
-                    log.warning("relay out of reach", why=str(flaw))
-                time.sleep(AGAIN_S)
-                continue
-            self.counts["dials"] += 1
-            if not self.reached:
-                self.reached = True
-                log.info("relay reached again")
 
     def turn(self, call: Call) -> Call | None:
         """Send a call, or as much of it as goes into one, once: what is still to be sent of it."""
-        part = call.part(self.routes)
+        part = call.part(self.routes, self.most)
         try:
             taken = self.send(part)
         except NoAnswerError as flaw:
@@ -122,9 +150,15 @@
             if self.refusals < REFUSED_MOST:
                 time.sleep(BUSY_S)
                 return call
-            log.error("call left out", why=taken.code, orders=part.many())
+            self.refusals = 0
+            if len(part.orders) > 1:  # one of them must be at fault: the others are not to be lost with it
+                self.most = len(part.orders) // 2
+                return call
+            log.error("order left out", why=taken.code, orders=part.many())
             taken = Taken(part.many())
+            self.most = None
         self.refusals = 0
+        self.most = self.most and 2 * self.most
         self.counts["calls"] += 1
         self.counts["orders"] += taken.count
         if taken.count < part.many():
@@ -140,15 +174,15 @@
             self.sock.sendall(call.data(number, self.routes))
             until = time.monotonic() + ANSWER_S
             while True:
-                left = until - time.monotonic()
-                if left <= 0:
-                    raise NoAnswerError("no answer in time")
-                self.sock.settimeout(left)
+                # A thread that got no turn on a busy core still reads what has come, without waiting.
+                self.sock.settimeout(max(0.0, until - time.monotonic()))
                 data = self.sock.recv(PIECE)
                 if not data:
                     raise NoAnswerError("closed before the answer")
                 for line in self.lines.receive(data):
                     return answer(line, number, call.many())
+        except (TimeoutError, BlockingIOError):
+            raise NoAnswerError("no answer in time") from None
         except (OSError, ValueError) as flaw:
             raise NoAnswerError(str(flaw) or type(flaw).__name__) from None
 
@@ -177,18 +211,19 @@
 
     def __init__(self, place: tuple[str, int], names: Names, give: Callable[[list], None]):
         self.place, self.names, self.give = place, names, give
-        self.streams = self.spoilt = self.newest = 0
-        self.moved_s, self.wanted = 0.0, threading.Event()
+        self.streams = self.spoilt = 0
+        self.newest = self.ended = 0  # numbers of streams: the last begun, the last ended
+        self.moved_s, self.changed = 0.0, threading.Condition()
 
     def move(self, place: tuple[str, int]) -> None:
         """For another thread: the news are to be had somewhere else from now on."""
-        self.place, self.moved_s = place, time.monotonic()
-        self.wanted.set()
+        with self.changed:
+            self.place, self.moved_s = place, time.monotonic()
+            self.changed.notify()
 
     def run(self) -> None:
         reached = True
         while True:
-            self.wanted.clear()
             place = self.place
             try:
                 sock = dial(place, DIAL_S)
@@ -201,8 +236,8 @@
             reached = True
             self.newest += 1
             threading.Thread(target=self.read, args=(sock, self.newest), name="news", daemon=True).start()
-            while not (self.wanted.wait(1.0) or self.place != place):
-                pass
+            with self.changed:
+                self.changed.wait_for(lambda place=place: self.place != place or self.ended == self.newest)
 
     def read(self, sock: socket.socket, number: int) -> None:
         try:
@@ -212,9 +247,10 @@
             log.warning("news broke off", why=str(flaw) or type(flaw).__name__)
         finally:
             self.give([Over(number)])
-            if number == self.newest:
-                time.sleep(AGAIN_S)
-                self.wanted.set()
+            time.sleep(AGAIN_S)  # before the next one, if this was the newest
+            with self.changed:
+                self.ended = max(self.ended, number)
+                self.changed.notify()
 
     def follow(self, sock: socket.socket, number: int) -> None:
         sock.sendall(b'{"jsonrpc":"2.0","id":1,"method":"subscribe"}\n')
--- a/rainpick/node/watch.py
+++ b/rainpick/node/watch.py
@@ -15,6 +15,8 @@
 HOLD_MS = 1_000
 SLACK_S = 0.4  # over the hold
 LIST_S = 1.0
+DIAL_S = 0.2  # the address is one of the director's own machine
+OLDER_S = 2.0  # whole lists of an older version come for so long before discovery is believed to count anew
 PAUSES_S = (0.0, 0.05, 0.1, 0.2)  # before the next try; the last for all further ones
 
 
@@ -23,13 +25,19 @@
 
     def __init__(self, place: tuple[str, int], names: Names, give: Callable[[Members], None]):
         self.names, self.give, self.version = names, give, None
-        self.client = Client(*place, timeout_s=LIST_S)
+        self.whole = True  # ask for the whole list next: the changes alone may not tell all
+        self.client = self.dialling(place)
         self.failed = self.answers = 0
+        self.older_s: float | None = None  # since when the lists that come are of an older version
+
+    @staticmethod
+    def dialling(place: tuple[str, int]) -> Client:
+        return Client(*place, timeout_s=LIST_S, dial_s=DIAL_S)
 
     def move(self, place: tuple[str, int]) -> None:
         """For another thread: discovery is somewhere else from now on."""
-        old, self.client = self.client, Client(*place, timeout_s=LIST_S)
-        old.interrupt()
+        old, self.client = self.client, self.dialling(place)
+        old.abort()
 
     def run(self) -> None:
         tries = 0
@@ -50,10 +58,11 @@
                     tries += 1
             if client is not self.client:
                 client.close()
+                tries, self.whole = 0, True  # nobody says that the versions are the same there
 
     def turn(self, client: Client) -> None:
         """One call and its answer."""
-        if self.version is None:
+        if self.whole:
             status, _, body = client.call("GET", PATH)
         else:
             path = f"{PATH}?from={self.version}&hold_ms={HOLD_MS}"
@@ -61,9 +70,18 @@
         if status != 200:
             raise ValueError(f"status {status}")
         news = members(load_json(body), self.names)
+        if self.version is not None and news.version < self.version:
+            # An old list that comes late would undo withdrawals; if no other comes, discovery has begun anew.
+            self.whole, now = True, time.monotonic()
+            self.older_s = self.older_s or now
+            if not news.full or now - self.older_s < OLDER_S:
+                raise ValueError(f"version {news.version} after {self.version}")
+        self.older_s = None
         for flaw in news.flaws:
             log.error("entry of the list left out", why=flaw)
         self.answers += 1
         if news.full or news.servers or news.version != self.version:
             self.give(news)
         self.version = news.version
+        # A change that could not be read is not told again: the whole list has it.
+        self.whole = bool(news.flaws) and not news.full
--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -1,13 +1,24 @@
 """What comes between two lines: each test holds one thread at a chosen place and lets the other pass it."""
 
+import select
 import socket
 import threading
+import time
 
+import pytest
+
+from rainpick import interface as api
+from rainpick.http1.client import Client, ClientError
 from rainpick.net.streams import Stream
-from rainpick.node.codec import FrameReader
+from rainpick.node import relay as relay_module
+from rainpick.node import watch as watch_module
+from rainpick.node.belief import Told
+from rainpick.node.codec import FrameReader, Ping, call
 from rainpick.node.door import Door
 from rainpick.node.inbox import Inbox
-from tests.node.platform import NAMES, Peer
+from rainpick.node.relay import Calls, News
+from rainpick.node.watch import Watch
+from tests.node.platform import NAMES, Discovery, Peer, Relay, entry
 from tests.waiting import WAIT_S, until
 
 JOINING = {"t": "telemetry", "locality": "a"}
@@ -103,3 +114,265 @@
     until(lambda: taken and (first.closed or first in door.collectors), "an end to it")
     assert first.closed != taken[0]
     door.listener.close()
+
+
+# Calls to the relay
+
+
+@pytest.fixture
+def relay():
+    made = Relay()
+    yield made
+    made.close()
+
+
+def step(*tables):
+    return call([api.ClearTable(table) for table in tables])
+
+
+def cleared(relay):
+    return [order["cluster"] for order in relay.orders("clear")]
+
+
+def calling(relay):
+    return Calls(relay.address, list(NAMES.routes), lambda told: None)
+
+
+def begun(calls):
+    threading.Thread(target=calls.run, daemon=True).start()
+    return calls
+
+
+def test_a_relay_that_closes_after_it_was_looked_at_and_before_the_call_is_sent(relay):
+    """The call goes into a connection that has ended: it is in doubt and said again, before the next one."""
+    calls = begun(calling(relay))
+    calls.put(step(1))
+    until(lambda: calls.counts["calls"] == 1, "the first call")
+    looked = calls.ended
+
+    def ends_then():
+        calls.ended = looked
+        assert not looked()
+        relay.drop()
+        until(lambda: not relay.open, "the end")
+        return False
+
+    calls.ended = ends_then
+    calls.put(step(2))
+    calls.put(step(3))
+    until(lambda: cleared(relay) == [1, 2, 3], "the calls")
+    assert calls.counts["again"] == 1
+
+
+def test_an_answer_that_came_while_the_thread_got_no_turn_is_read(relay, monkeypatch):
+    """A busy core was taken for a dead relay: the call went out again, and the core had more to do."""
+    calls = begun(calling(relay))
+    calls.put(step(1))
+    until(lambda: calls.counts["calls"] == 1, "a connection")
+    monkeypatch.setattr(relay_module, "ANSWER_S", 0.0)  # the time is up when the call has left
+
+    class Late:
+        """The socket of a thread that gets its next turn when the answer has come."""
+
+        def __init__(self, sock):
+            self.sock = sock
+
+        def recv(self, size, *flags):
+            if not flags:
+                select.select([self.sock], [], [], WAIT_S)
+            return self.sock.recv(size, *flags)
+
+        def __getattr__(self, name):
+            return getattr(self.sock, name)
+
+    calls.sock = Late(calls.sock)
+    calls.put(step(2))
+    until(lambda: calls.counts["calls"] == 2, "the second call")
+    assert cleared(relay) == [1, 2] and calls.counts["again"] == 0
+
+
+def test_calls_that_keep_the_connection_and_are_refused_count_against_no_order(relay, monkeypatch):
+    """Their refusals were added to those of the next call, which was left out at its first."""
+    monkeypatch.setattr(relay_module, "IDLE_S", 0.02)
+    calls = begun(calling(relay))
+    calls.put(step(1))
+    until(lambda: calls.counts["calls"] == 1, "a connection")
+    relay.usual = lambda orders: "well" if orders else "syntax"
+    until(lambda: [way for way, _ in relay.lines].count("syntax") > relay_module.REFUSED_MOST, "refusals")
+    relay.ways = ["syntax"]
+    until(lambda: not relay.ways, "one more")
+    relay.ways = ["syntax"] * (relay_module.REFUSED_MOST - 1)
+    calls.put(step(2))
+    until(lambda: cleared(relay) == [1, 2], "the second call")
+
+
+def test_an_order_for_which_a_whole_call_is_refused_is_left_out_alone(relay):
+    """The withdrawals in the same call were lost for good, though the module believed them said."""
+    relay.usual = lambda orders: "syntax" if any(order["cluster"] == 5 for order in orders) else "well"
+    calls = begun(calling(relay))
+    calls.put(step(*range(1, 9)))
+    calls.put(step(9))
+    until(lambda: cleared(relay)[-1:] == [9], "the next call")
+    assert cleared(relay) == [1, 2, 3, 4, 6, 7, 8, 9]
+
+
+def test_what_is_ordered_while_the_relay_is_away_does_not_pile_up(relay):
+    place = relay.address
+    relay.close()
+    calls = begun(Calls(place, list(NAMES.routes), lambda told: None))
+    for turn in range(500):
+        calls.put(call([api.SetLine(1, "s-1", float(turn)), api.Withdraw("s-2", bool(turn % 2))]))
+    until(lambda: calls.queue.empty() and sum(len(one.orders) for one in calls.waiting) == 2, "what is left")
+    other = Relay()
+    calls.move(other.address)
+    until(lambda: other.carried and other.orders("share"), "what holds")
+    assert [order["w"] for order in other.orders("share")] == [499.0] and len(other.orders("withdraw")) == 1
+    other.close()
+
+
+def test_what_was_ordered_before_the_end_is_said_first(relay):
+    """SIGTERM in the middle of a call: it and the withdrawals behind it are said, if that is soon done."""
+    relay.ways = ["lost"]
+    calls = begun(calling(relay))
+    calls.put(step(1))
+    until(lambda: relay.lines, "a call that gets no answer")
+    calls.put(step(2))
+    calls.finish(WAIT_S)
+    assert cleared(relay) == [1, 2]
+
+
+def test_the_end_is_not_put_off_by_a_relay_that_is_away(relay):
+    relay.close()
+    calls = begun(calling(relay))
+    calls.put(step(1))
+    begin = time.monotonic()
+    calls.finish(0.05)
+    assert time.monotonic() - begin < 0.7
+
+
+# News
+
+
+def news_threads():
+    return [thread for thread in threading.enumerate() if thread.name == "news"]
+
+
+def test_a_stream_of_news_that_ends_while_the_next_is_dialled_is_followed_by_one_only(relay, monkeypatch):
+    """Its reader took itself for the newest: a third stream was begun, and all proxies were told again."""
+    until(lambda: not news_threads(), "the ends of earlier ones")
+    other, found, dial = Relay(), [], relay_module.dial
+    other.attach(2)
+
+    def dials(place, timeout_s):
+        if place == other.address and relay.open:
+            relay.drop()
+            until(lambda: not news_threads(), "the end of the former stream")
+        return dial(place, timeout_s)
+
+    monkeypatch.setattr(relay_module, "dial", dials)
+    news = News(relay.address, NAMES, found.extend)
+    threading.Thread(target=news.run, daemon=True).start()
+    until(lambda: Told(1, Ping()) in found, "a sign of life")
+    news.move(other.address)
+    until(lambda: found.count(Told(2, Ping())) > 2, "the stream at the new address")
+    assert news.newest == 2 and len(news_threads()) == 1
+    other.close()
+
+
+# Discovery
+
+
+@pytest.fixture
+def discovery():
+    made = Discovery(entry(1), entry(2))
+    yield made
+    made.close()
+
+
+def following(discovery):
+    found = []
+    watch = Watch(discovery.address, NAMES, found.append)
+    threading.Thread(target=watch.run, daemon=True).start()
+    return watch, found
+
+
+def states(found):
+    return [{one.address: one.state for one in news.servers} for news in found]
+
+
+def test_a_move_while_the_old_address_is_dialled_asks_nothing_there(discovery, monkeypatch):
+    """There was no socket to interrupt yet: the old address was asked, for a whole time limit."""
+    other, connect = Discovery(entry(3)), socket.create_connection
+    dialling, on = threading.Event(), threading.Event()
+
+    def dials(place, timeout_s):
+        if place == discovery.address:
+            dialling.set()
+            assert on.wait(WAIT_S)
+        return connect(place, timeout_s)
+
+    monkeypatch.setattr("rainpick.http1.client.socket.create_connection", dials)
+    watch, found = following(discovery)
+    assert dialling.wait(WAIT_S)
+    watch.move(other.address)
+    on.set()
+    until(lambda: found, "the list")
+    assert not discovery.asked and states(found) == [{"s-0003": api.READY}]
+    other.close()
+
+
+def test_a_new_address_that_counts_from_a_lower_version_is_followed(discovery, monkeypatch):
+    """It was asked for what is newer than the old one's version, and had nothing to tell for a long time."""
+    monkeypatch.setattr(watch_module, "OLDER_S", 0.2)
+    discovery.versions += [[]] * 50
+    other = Discovery(entry(3))
+    watch, found = following(discovery)
+    until(lambda: found, "the list")
+    watch.move(other.address)
+    until(lambda: len(found) == 2, "the list there")
+    other.change(entry(3, "Terminating"))
+    until(lambda: len(found) == 3, "a change there")
+    assert states(found)[1:] == [{"s-0003": api.READY}, {"s-0003": api.DRAINING}]
+    other.close()
+
+
+def test_an_old_list_that_comes_late_undoes_nothing(discovery):
+    """A server that drains stood as ready again."""
+    watch, found = following(discovery)
+    until(lambda: found, "the list")
+    old = discovery.told(True, discovery.versions[0])
+    with discovery.changed:
+        discovery.odd = [old, old]
+    discovery.change(entry(1, "Terminating"))
+    until(lambda: not discovery.odd and states(found)[-1]["s-0001"] == api.DRAINING, "the drain")
+    discovery.change(entry(2, "Terminating"))
+    until(lambda: states(found)[-1].get("s-0002") == api.DRAINING, "the next")
+    seen = [told["s-0001"] for told in states(found) if "s-0001" in told]
+    assert seen.index(api.DRAINING) and api.READY not in seen[seen.index(api.DRAINING):]
+
+
+def test_a_change_that_cannot_be_read_is_told_by_the_whole_list(discovery):
+    """It is said once; what was dropped with it was a drain."""
+    watch, found = following(discovery)
+    until(lambda: found and len(discovery.asked) > 1, "a watch")
+    told = discovery.told
+
+    def spoils(full, entries):
+        if full:
+            return told(full, entries)
+        discovery.told = told
+        return told(full, [one | {"weight": "heavy"} for one in entries])
+
+    discovery.told = spoils
+    discovery.change(entry(1, "Terminating"))
+    until(lambda: states(found)[-1].get("s-0001") == api.DRAINING, "the drain")
+
+
+def test_a_client_that_is_aborted_makes_no_call_any_more(discovery):
+    client = Client(*discovery.address)
+    assert client.call("GET", "/catalog/members")[0] == 200
+    client.abort()
+    for _ in range(2):
+        with pytest.raises(ClientError):
+            client.call("GET", "/catalog/members")
+    assert len(discovery.asked) == 1
