--- a/rainpick/http1/client.py
+++ b/rainpick/http1/client.py
@@ -49,9 +49,9 @@
             sent = True
             self.sock.sendall(data + self.machine.send(h11.EndOfMessage()))
             return self.read(until)
-        except (OSError, h11.ProtocolError) as flaw:
+        except (OSError, h11.ProtocolError) as error:
             self.close()
-            raise ClientError("%s:%d: %s" % (*self.place, flaw or type(flaw).__name__), sent) from None
+            raise ClientError("%s:%d: %s" % (*self.place, error or type(error).__name__), sent) from None
 
     def dial(self, timeout_s: float) -> None:
         sock = None if self.aborted else socket.create_connection(self.place, self.dial_s or timeout_s)
--- a/rainpick/net/streams.py
+++ b/rainpick/net/streams.py
@@ -66,10 +66,10 @@
                     self.give(self, found)
                     if isinstance(found, Ended):
                         return
-        except OSError as flaw:
-            self.give(self, Ended(b"", flaw.strerror or type(flaw).__name__))
-        except Exception as flaw:  # whatever its bytes trip costs this peer alone
-            self.give(self, Ended(b"", f"{type(flaw).__name__}: {flaw}"))
+        except OSError as error:
+            self.give(self, Ended(b"", error.strerror or type(error).__name__))
+        except Exception as error:  # whatever its bytes trip costs this peer alone
+            self.give(self, Ended(b"", f"{type(error).__name__}: {error}"))
         finally:
             with self.ending:
                 self.reading = False
--- a/rainpick/node/codec.py
+++ b/rainpick/node/codec.py
@@ -15,7 +15,7 @@
 from rainpick.node.configuration import Names
 
 FRAME_MOST = 1 << 20
-STRANGER_MOST = 4_096  # a message of who has not joined: a sign of life or a joining, no more
+STRANGER_MOST = 4_096  # a message of who has not joined: a heartbeat or a joining, no more
 LINE_MOST = 1 << 20
 CALL_MOST = 58_000  # bytes of a call's orders; the relay takes 60,000
 COUNT_MOST = 1 << 24  # no honest report counts more in one interval
@@ -23,12 +23,12 @@
 STATES = {"Ready": api.READY, "Terminating": api.DRAINING, "Gone": api.GONE}
 
 
-class SpoiltError(Exception):
+class MalformedError(Exception):
     """One message that can't be used; the stream goes on."""
 
 
-class Alive(NamedTuple):
-    """A sign of life was asked for."""
+class Heartbeat(NamedTuple):
+    """A heartbeat was asked for."""
 
 
 class Collector(NamedTuple):
@@ -37,7 +37,7 @@
     zone: int
 
 
-class Spoilt(NamedTuple):
+class Malformed(NamedTuple):
     """A message was dropped."""
 
     why: str
@@ -57,28 +57,28 @@
     value = message.get(field)
     if not isinstance(value, int | float) or isinstance(value, bool) or not math.isfinite(value) \
             or not least <= value <= most:
-        raise SpoiltError(f"{field}: {str(value)[:40]!r} is not a number from {least:g} to {most:g}")
+        raise MalformedError(f"{field}: {str(value)[:40]!r} is not a number from {least:g} to {most:g}")
     return value
 
 
 def whole(message: dict, field: str, least: int, most: int) -> int:
     value = number(message, field, least, most)
     if value != int(value):
-        raise SpoiltError(f"{field}: {value!r} is not whole")
+        raise MalformedError(f"{field}: {value!r} is not whole")
     return int(value)
 
 
 def index(message: dict, field: str, names: dict[str, int]) -> int:
     value = message.get(field)
     if not isinstance(value, str) or value not in names:
-        raise SpoiltError(f"{field}: {str(value)[:40]!r} is not one of {list(names)}")
+        raise MalformedError(f"{field}: {str(value)[:40]!r} is not one of {list(names)}")
     return names[value]
 
 
 def text(message: dict, field: str) -> str:
     value = message.get(field)
     if not isinstance(value, str) or not 0 < len(value) <= 256:
-        raise SpoiltError(f"{field}: {str(value)[:40]!r} is not a name")
+        raise MalformedError(f"{field}: {str(value)[:40]!r} is not a name")
     return value
 
 
@@ -90,7 +90,7 @@
     mean_ms = number(message, "rtt", 0, names.time_most_ms) if answered else 0
     load = message.get("metrics")
     if load is not None and not isinstance(load, dict):
-        raise SpoiltError("metrics: not an object")
+        raise MalformedError("metrics: not an object")
     if load is not None:
         for word in load:
             number(load, word, 0, 1e9)
@@ -114,7 +114,7 @@
     return len(data).to_bytes(4, "little") + data
 
 
-ALIVE = frame({"t": "hb_ok"})
+HEARTBEAT_OK = frame({"t": "hb_ok"})
 REPORTS = {"upstream_stats": server_met, "client_stats": proxy_met}
 
 
@@ -125,7 +125,7 @@
         self.names, self.rest, self.zone, self.over = names, bytearray(), None, False
 
     def receive(self, data: bytes) -> list:
-        """``Alive``, ``Collector``, ``Spoilt``, reports as events, and ``Ended``, in order."""
+        """``Heartbeat``, ``Collector``, ``Malformed``, reports as events, and ``Ended``, in order."""
         if self.over:
             return []
         self.rest += data
@@ -152,12 +152,12 @@
     def take(self, body: bytes, found: list) -> None:
         try:
             message = load_json(body)
-        except ValueError as flaw:
-            return self.end(found, f"not JSON: {flaw}")
+        except ValueError as error:
+            return self.end(found, f"not JSON: {error}")
         kind = message.get("t")
         try:
             if kind == "hb":
-                found.append(Alive())
+                found.append(Heartbeat())
             elif kind == "telemetry":
                 zone = index(message, "locality", self.names.zones)
                 if self.zone is None:
@@ -168,12 +168,12 @@
             elif isinstance(kind, str) and kind in REPORTS:
                 found.append(REPORTS[kind](message, self.names))
             else:
-                raise SpoiltError(f"t: {str(kind)[:40]!r} is not one of {['hb', 'telemetry', *REPORTS]}")
-        except SpoiltError as flaw:
+                raise MalformedError(f"t: {str(kind)[:40]!r} is not one of {['hb', 'telemetry', *REPORTS]}")
+        except MalformedError as error:
             if self.zone is None:
-                self.end(found, str(flaw))
+                self.end(found, str(error))
             else:
-                found.append(Spoilt(f"{str(kind)[:40]}: {flaw}"))
+                found.append(Malformed(f"{str(kind)[:40]}: {error}"))
 
 
 class LineReader:
@@ -196,18 +196,18 @@
 
 
 def news(line: bytes, names: Names) -> object:
-    """One notification: ``Ping`` or an event; ``SpoiltError``: can't be used; ``ValueError``: not JSON."""
+    """One notification: ``Ping`` or an event; ``MalformedError``: can't be used; ``ValueError``: not JSON."""
     message = load_json(line)
     params = message.get("params", {}) if isinstance(message, dict) else None
     if not isinstance(params, dict):
-        raise SpoiltError("not a notification")
+        raise MalformedError("not a notification")
     method = message.get("method")
     if method == "ping":
         return Ping()
     proxy = whole(params, "node", 0, names.proxies - 1)
     if method == "attach":
         if not isinstance(params.get("cold"), bool):
-            raise SpoiltError(f"cold: {params.get('cold')!r} is not true or false")
+            raise MalformedError(f"cold: {params.get('cold')!r} is not true or false")
         return api.ProxyJoined(proxy, params["cold"], float(number(params, "w", 0, 1e9)),
                                index(params, "locality", names.zones))
     if method == "detach":
@@ -215,7 +215,7 @@
     if method == "done":
         return api.Applied(proxy, whole(params, "nonce", 0, 65535),
                            round(number(params, "latency", 0, INTERVAL_MOST_MS) * 1000))
-    raise SpoiltError(f"method: {str(method)[:40]!r} is not known")
+    raise MalformedError(f"method: {str(method)[:40]!r} is not known")
 
 
 def rendered(order: object, routes: list[str]) -> bytes:
@@ -354,17 +354,17 @@
     message = load_json(line)
     if not isinstance(message, dict) or message.get("id") != number_ or isinstance(message["id"], bool):
         raise ValueError("not the answer to this call")
-    flaw, result = message.get("error"), message.get("result")
-    if flaw is not None and result is None:
-        for place in (flaw, *flaw.values()) if isinstance(flaw, dict) else (flaw,):
+    error, result = message.get("error"), message.get("result")
+    if error is not None and result is None:
+        for place in (error, *error.values()) if isinstance(error, dict) else (error,):
             if isinstance(place, str):
                 for code in ("BUSY", "SYNTAX", "STALE", "FAILED"):
                     if code in place:
                         return NotTaken(code)
-        raise ValueError(f"error: {str(flaw)[:80]}")
+        raise ValueError(f"error: {str(error)[:80]}")
     try:
         return Taken(whole(result, "ok_count", 0, most))
-    except (AttributeError, SpoiltError) as odd:
+    except (AttributeError, MalformedError) as odd:
         raise ValueError(str(odd)) from None
 
 
@@ -374,7 +374,7 @@
     version: int
     full: bool
     servers: tuple[api.Server, ...]
-    flaws: tuple[str, ...]  # what was wrong with entries that were left out
+    errors: tuple[str, ...]  # what was wrong with entries that were left out
     unread: frozenset[str]  # of those, the ids that could be read
 
 
@@ -385,21 +385,21 @@
         raise ValueError("not a list of servers")
     try:
         version = whole(tree, "generation", 0, 1 << 63)
-    except SpoiltError as flaw:
-        raise ValueError(str(flaw)) from None
-    servers, flaws, unread = [], [], set()
+    except MalformedError as error:
+        raise ValueError(str(error)) from None
+    servers, errors, unread = [], [], set()
     for entry in tree["instances"]:
         try:
             if not isinstance(entry, dict):
-                raise SpoiltError("an entry that is no object")
+                raise MalformedError("an entry that is no object")
             servers.append(api.Server(
                 float(number(entry, "weight", 0, 1e6)), index(entry, "zone", names.zones),
                 round(number(entry, "startedAtMs", 0, 1e14) * 1000),
                 index(entry, "machineType", names.machines),
                 whole(entry, "cell", 0, 1 << 31), text(entry, "instanceId"),
                 index(entry, "lifecycle", STATES)))
-        except SpoiltError as flaw:
-            flaws.append(str(flaw))
+        except MalformedError as error:
+            errors.append(str(error))
             if isinstance(entry, dict) and isinstance(entry.get("instanceId"), str):
                 unread.add(entry["instanceId"])
-    return Members(version, tree["reset"], tuple(servers), tuple(flaws), frozenset(unread))
+    return Members(version, tree["reset"], tuple(servers), tuple(errors), frozenset(unread))
--- a/rainpick/node/configuration.py
+++ b/rainpick/node/configuration.py
@@ -76,8 +76,8 @@
     try:
         with open(path, "rb") as file:
             tree = json.load(file)
-    except (OSError, ValueError, RecursionError) as flaw:
-        raise ConfigurationError(f"{path}: {flaw}") from None
+    except (OSError, ValueError, RecursionError) as error:
+        raise ConfigurationError(f"{path}: {error}") from None
     if not isinstance(tree, dict):
         raise ConfigurationError(f"{path}: a JSON object is wanted")
     settings = nested(within(path, tree, "settings", dict))
--- a/rainpick/node/core.py
+++ b/rainpick/node/core.py
@@ -1,4 +1,4 @@
-"""The core: the one thread that steps the module. All else hands it events through the inbox."""
+"""The core: the one thread that steps the module. All else hands it events through the mailbox."""
 
 from __future__ import annotations
 
@@ -11,8 +11,8 @@
 from rainpick.node.belief import Listing, Roster
 from rainpick.node.codec import Call, Members, Merged, call
 from rainpick.node.configuration import Configuration
-from rainpick.node.inbox import Inbox
 from rainpick.node.log import log
+from rainpick.node.mailbox import Mailbox
 
 IDLE_S = 1.0
 STATUS_US = 10_000_000
@@ -27,9 +27,9 @@
 class Core:
     """``send`` is handed the calls of each step."""
 
-    def __init__(self, told: Configuration, known: Members, inbox: Inbox, send: Callable[[Call], None],
+    def __init__(self, told: Configuration, known: Members, mailbox: Mailbox, send: Callable[[Call], None],
                  module: Callable[[], Director] = Director):
-        self.inbox, self.send, self.clock = inbox, send, clock_maker()
+        self.mailbox, self.send, self.clock = mailbox, send, clock_maker()
         self.round_us = told.settings.get("round_us", 1_000)
         self.stepper = Stepper(told.seed, told.settings, module)
         self.listing, self.roster = Listing(), Roster()
@@ -43,7 +43,7 @@
         while True:
             due_us, now = self.stepper.due_us(), self.clock()
             wait_s = IDLE_S if due_us is None else min(IDLE_S, max(0, due_us - now) / 1e6)
-            self.turn(*self.inbox.take(wait_s))
+            self.turn(*self.mailbox.take(wait_s))
 
     def turn(self, news: list, reports: list) -> None:
         """Hear what came, and step if anything did or a timer is due."""
@@ -93,6 +93,6 @@
         return {
             "joined": len(self.roster.joined), "servers": len(listing.entries), "version": listing.version,
             "steps": stepper.steps, "events": stepper.heard, "orders": stepper.ordered,
-            "shed": self.inbox.shed, "unknown": self.unknown, "cpu_s": round(time.process_time(), 2),
+            "shed": self.mailbox.shed, "unknown": self.unknown, "cpu_s": round(time.process_time(), 2),
             **self.status(),
         }
--- a/rainpick/node/door.py
+++ b/rainpick/node/listener.py
@@ -1,4 +1,4 @@
-"""The director's address: signs of life, collectors, and strangers, who cost little and not for long."""
+"""The director's address: heartbeats, collectors, and strangers, who cost little and not for long."""
 
 from __future__ import annotations
 
@@ -9,10 +9,10 @@
 
 from rainpick.net import Ended
 from rainpick.net.streams import Listener, Stream
-from rainpick.node.codec import ALIVE, Alive, Collector, FrameReader, Spoilt
+from rainpick.node.codec import HEARTBEAT_OK, Collector, FrameReader, Heartbeat, Malformed
 from rainpick.node.configuration import Names
-from rainpick.node.inbox import Inbox
 from rainpick.node.log import log
+from rainpick.node.mailbox import Mailbox
 
 STRANGER_S = 1.2  # to join in; the platform allows to close after 1 s and wants it done within 3
 STRANGERS_MOST = 256  # at once; a quarter of the descriptors, if that is less
@@ -20,21 +20,22 @@
 UNREAD_MOST = 4_096  # bytes that a peer may leave unread
 
 
-class Door:
+class CollectorListener:
     """Listens at once; ``start`` lets peers in. Only a peer's own reading thread writes to it."""
 
-    def __init__(self, listen: tuple[str, int], names: Names, sockets: int, inbox: Inbox):
-        self.names, self.inbox, self.lock = names, inbox, threading.Lock()
+    def __init__(self, listen: tuple[str, int], names: Names, sockets: int, mailbox: Mailbox):
+        self.names, self.mailbox, self.lock = names, mailbox, threading.Lock()
         self.most = max(1, min(STRANGERS_MOST, sockets // 4))
         self.numbers = count(1)
         self.strangers: OrderedDict[Stream, float] = OrderedDict()  # the oldest first, with its end
         self.collectors: dict[Stream, int] = {}  # the oldest first, with its zone
-        self.counts = {"accepted": 0, "alive": 0, "rejected": 0, "let_go": 0, "spoilt": 0, "reports": 0}
-        self.listener = Listener(listen, 1024, self.opened)
-        self.address = self.listener.address
+        counted = "accepted", "heartbeats", "rejected", "let_go", "malformed", "reports"
+        self.counts = dict.fromkeys(counted, 0)
+        self.accepting = Listener(listen, 1024, self.opened)
+        self.address = self.accepting.address
 
     def start(self) -> None:
-        self.listener.thread.start()
+        self.accepting.thread.start()
 
     def opened(self, sock, peer: str) -> None:
         stream = Stream(next(self.numbers), sock, peer, FrameReader(self.names), self.came)
@@ -73,21 +74,21 @@
 
     def came(self, stream: Stream, found: object) -> None:
         kind = type(found)
-        if kind is Alive:
-            self.counts["alive"] += 1
-            stream.write(ALIVE)
+        if kind is Heartbeat:
+            self.counts["heartbeats"] += 1
+            stream.write(HEARTBEAT_OK)
             if len(stream.rest) > UNREAD_MOST:
                 self.let_go(stream)
         elif kind is Collector:
             self.collect(stream, found.zone)
-        elif kind is Spoilt:
-            self.counts["spoilt"] += 1
+        elif kind is Malformed:
+            self.counts["malformed"] += 1
             log.warning("report dropped", peer=stream.peer, why=found.why)
         elif kind is Ended:
             self.ended(stream, found)
         else:
             self.counts["reports"] += 1
-            self.inbox.report((found,))
+            self.mailbox.report((found,))
 
     def collect(self, stream: Stream, zone: int) -> None:
         with self.lock:
--- a/rainpick/node/inbox.py
+++ b/rainpick/node/mailbox.py
@@ -10,7 +10,7 @@
 NEWS_MOST = 16_384
 
 
-class Inbox:
+class Mailbox:
     """Joins, leaves, answers and lists go before reports: a report may need the list that names it."""
 
     def __init__(self, news_most: int = NEWS_MOST, reports_most: int = REPORTS_MOST):
--- a/rainpick/node/process.py
+++ b/rainpick/node/process.py
@@ -13,10 +13,10 @@
 from rainpick.node.codec import Members, members
 from rainpick.node.configuration import Configuration, ConfigurationError, read
 from rainpick.node.core import Core
-from rainpick.node.door import Door
-from rainpick.node.inbox import Inbox
+from rainpick.node.listener import CollectorListener
 from rainpick.node.log import log
-from rainpick.node.relay import Calls, News
+from rainpick.node.mailbox import Mailbox
+from rainpick.node.relay import Calls, Subscription
 from rainpick.node.watch import Watch
 
 STACK = 256 * 1024
@@ -39,29 +39,29 @@
     """One director, its threads and its signals."""
 
     def __init__(self, told: Configuration, signals: SimpleQueue):
-        self.told, self.signals, inbox = told, signals, Inbox()
-        self.door = Door(told.listen, told.names, told.sockets, inbox)
-        self.calls = Calls(told.relay, list(told.names.routes), inbox.put)
-        self.news = News(told.relay, told.names, lambda found: inbox.put(*found))
-        self.watch = Watch(told.discovery, told.names, inbox.put)
-        self.core = Core(told, known(told), inbox, self.calls.put)
+        self.told, self.signals, mailbox = told, signals, Mailbox()
+        self.listener = CollectorListener(told.listen, told.names, told.sockets, mailbox)
+        self.calls = Calls(told.relay, list(told.names.routes), mailbox.put)
+        self.subscription = Subscription(told.relay, told.names, lambda found: mailbox.put(*found))
+        self.watch = Watch(told.discovery, told.names, mailbox.put)
+        self.core = Core(told, known(told), mailbox, self.calls.put)
         self.core.status = self.figures
         self.readings = 0  # of the configuration that are still to be tried
 
     def figures(self) -> dict:
-        return {"door": self.door.status(), "calls": self.calls.counts,
-                "news_streams": self.news.streams,
+        return {"listener": self.listener.status(), "calls": self.calls.counts,
+                "subscriptions": self.subscription.streams,
                 "list_failed": self.watch.failed, "threads": threading.active_count()}
 
     def run(self) -> None:
         # Handlers only queue: whatever lock they took could be held by the very thread that they interrupt.
         for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             signal.signal(number, lambda number, _: self.signals.put(number))
-        for part in (self.core, self.calls, self.news, self.watch):
+        for part in (self.core, self.calls, self.subscription, self.watch):
             threading.Thread(target=loudly, args=(part.run,), name=type(part).__name__, daemon=True).start()
-        self.door.start()
-        log.info("serving", name=self.told.name, cores=self.told.cores, address="%s:%d" % self.door.address,
-                 cpu_s=round(sum(os.times()[:2]), 2))
+        self.listener.start()
+        log.info("serving", name=self.told.name, cores=self.told.cores,
+                 address="%s:%d" % self.listener.address, cpu_s=round(sum(os.times()[:2]), 2))
         while True:
             try:
                 number = self.signals.get(timeout=SWEEP_S)
@@ -73,7 +73,7 @@
                 self.readings = READ_AGAIN
             if self.readings:
                 self.reload()
-            self.door.sweep()
+            self.listener.sweep()
 
     def reload(self) -> None:
         """Take up new addresses; a file that can't be used leaves all as it is, and is soon read again."""
@@ -82,9 +82,9 @@
             told = read(os.environ)
             if told.name != self.told.name:
                 raise ConfigurationError(f"name: {told.name!r} is not {self.told.name!r}: another director's")
-        except ConfigurationError as flaw:
+        except ConfigurationError as error:
             if first or not self.readings:
-                log.error("configuration refused", why=str(flaw), readings_left=self.readings)
+                log.error("configuration refused", why=str(error), readings_left=self.readings)
             return
         self.readings = 0
         log.info("configuration read again", discovery="%s:%d" % told.discovery, relay="%s:%d" % told.relay)
@@ -94,7 +94,7 @@
             self.watch.move(told.discovery)
         if told.relay != self.told.relay:
             self.calls.move(told.relay)
-            self.news.move(told.relay)
+            self.subscription.move(told.relay)
         self.told = self.told._replace(discovery=told.discovery, relay=told.relay)
 
     def stop(self) -> None:
@@ -108,11 +108,11 @@
     """The list as it was last known; one that can't be read costs a start from nothing, not the start."""
     try:
         found = members(told.known, told.names)
-    except ValueError as flaw:
-        log.error("known list left out", why=str(flaw))
+    except ValueError as error:
+        log.error("known list left out", why=str(error))
         return Members(0, True, (), (), frozenset())
-    for flaw in found.flaws:
-        log.error("entry of the known list left out", why=flaw)
+    for error in found.errors:
+        log.error("entry of the known list left out", why=error)
     return found
 
 
@@ -128,6 +128,6 @@
     sys.setswitchinterval(SWITCH_S)
     try:
         node = Node(read(os.environ), signals)
-    except (ConfigurationError, OSError, ValueError) as flaw:
-        sys.exit(f"rainpick.node: {flaw}")
+    except (ConfigurationError, OSError, ValueError) as error:
+        sys.exit(f"rainpick.node: {error}")
     node.run()
--- a/rainpick/node/relay.py
+++ b/rainpick/node/relay.py
@@ -13,9 +13,9 @@
 from rainpick.node.codec import (
     Call,
     LineReader,
+    MalformedError,
     Merged,
     NotTaken,
-    SpoiltError,
     Taken,
     answer,
     load_json,
@@ -31,7 +31,7 @@
 BUSY_S = 0.02
 AGAIN_S = 0.02
 IDLE_S = 1.0  # after which a call without orders keeps the connection from being closed as idle
-SILENT_S = 2.0  # without a sign of life, due each second
+SILENT_S = 2.0  # without a heartbeat, due each second
 FORMER_S = 3.0  # a former address should end its stream in half of that; no longer is it read
 REFUSED_MOST = 5  # times that a whole call is refused for good before it is left out
 
@@ -115,10 +115,10 @@
         self.dialled = self.place
         try:
             self.sock, self.lines = dial(self.dialled, DIAL_S), LineReader()
-        except OSError as flaw:
+        except OSError as error:
             if self.reached:
                 self.reached = False
-                log.warning("relay out of reach", why=str(flaw))
+                log.warning("relay out of reach", why=str(error))
             time.sleep(AGAIN_S)
             return False
         self.counts["dials"] += 1
@@ -139,9 +139,9 @@
         part = call.part(self.routes, self.most)
         try:
             taken = self.send(part)
-        except NoAnswerError as flaw:
+        except NoAnswerError as error:
             self.counts["again"] += 1
-            log.warning("call in doubt, sent again", why=str(flaw), orders=part.many())
+            log.warning("call in doubt, sent again", why=str(error), orders=part.many())
             self.close()
             return call
         if type(taken) is NotTaken:
@@ -183,8 +183,8 @@
                     return answer(line, number, call.many())
         except (TimeoutError, BlockingIOError):
             raise NoAnswerError("no answer in time") from None
-        except (OSError, ValueError) as flaw:
-            raise NoAnswerError(str(flaw) or type(flaw).__name__) from None
+        except (OSError, ValueError) as error:
+            raise NoAnswerError(str(error) or type(error).__name__) from None
 
     def ended(self) -> bool:
         """Whether the other side has closed, or written what nobody asked for."""
@@ -202,7 +202,7 @@
             self.sock = None
 
 
-class News:
+class Subscription:
     """Subscribes, again and again; ``give`` is handed lists of ``Begun``, ``Told`` and ``Over``.
 
     A stream is read by a thread of its own: at a new address the next one begins while the former is still
@@ -211,7 +211,7 @@
 
     def __init__(self, place: tuple[str, int], names: Names, give: Callable[[list], None]):
         self.place, self.names, self.give = place, names, give
-        self.streams = self.spoilt = 0
+        self.streams = self.malformed = 0
         self.newest = self.ended = 0  # numbers of streams: the last begun, the last ended
         self.moved_s, self.changed = 0.0, threading.Condition()
 
@@ -227,9 +227,9 @@
             place = self.place
             try:
                 sock = dial(place, DIAL_S)
-            except OSError as flaw:
+            except OSError as error:
                 if reached:
-                    log.warning("news out of reach", why=str(flaw))
+                    log.warning("news out of reach", why=str(error))
                 reached = False
                 time.sleep(AGAIN_S)
                 continue
@@ -243,8 +243,8 @@
         try:
             with sock:
                 self.follow(sock, number)
-        except Exception as flaw:  # whatever it was, this stream is over, and only another one can help
-            log.warning("news broke off", why=str(flaw) or type(flaw).__name__)
+        except Exception as error:  # whatever it was, this stream is over, and only another one can help
+            log.warning("news broke off", why=str(error) or type(error).__name__)
         finally:
             self.give([Over(number)])
             time.sleep(AGAIN_S)  # before the next one, if this was the newest
@@ -272,7 +272,7 @@
                     continue
                 try:
                     found.append(Told(number, news(line, self.names)))
-                except SpoiltError as flaw:
-                    self.spoilt += 1
-                    log.warning("news dropped", why=str(flaw))
+                except MalformedError as error:
+                    self.malformed += 1
+                    log.warning("news dropped", why=str(error))
             self.give(found)
--- a/rainpick/node/watch.py
+++ b/rainpick/node/watch.py
@@ -48,12 +48,12 @@
                 if tries:
                     log.info("discovery reached again", tries=tries)
                 tries = 0
-            except (ClientError, ValueError) as flaw:
+            except (ClientError, ValueError) as error:
                 client.close()
                 self.failed += 1
                 if client is self.client:
                     if not tries:
-                        log.warning("discovery failed", why=str(flaw))
+                        log.warning("discovery failed", why=str(error))
                     time.sleep(PAUSES_S[min(tries, len(PAUSES_S) - 1)])
                     tries += 1
             if client is not self.client:
@@ -77,11 +77,11 @@
             if not news.full or now - self.older_s < OLDER_S:
                 raise ValueError(f"version {news.version} after {self.version}")
         self.older_s = None
-        for flaw in news.flaws:
-            log.error("entry of the list left out", why=flaw)
+        for error in news.errors:
+            log.error("entry of the list left out", why=error)
         self.answers += 1
         if news.full or news.servers or news.version != self.version:
             self.give(news)
         self.version = news.version
         # A change that could not be read is not told again: the whole list has it.
-        self.whole = bool(news.flaws) and not news.full
+        self.whole = bool(news.errors) and not news.full
--- a/tests/node/platform.py
+++ b/tests/node/platform.py
@@ -33,7 +33,7 @@
 
 
 class Peer:
-    """A client of the door."""
+    """a client of the listener."""
 
     def __init__(self, address):
         self.sock = socket.create_connection(address, WAIT_S)
--- a/tests/node/test_codec.py
+++ b/tests/node/test_codec.py
@@ -10,13 +10,13 @@
 from rainpick.net import Ended
 from rainpick.node import codec
 from rainpick.node.codec import (
-    Alive,
     Collector,
     FrameReader,
+    Heartbeat,
+    Malformed,
+    MalformedError,
     NotTaken,
     Ping,
-    Spoilt,
-    SpoiltError,
     Taken,
     frame,
 )
@@ -53,7 +53,7 @@
         found += reader.receive(data[:size])
         data = data[size:]
     found += reader.receive(data)
-    assert [type(one) for one in found] == [Alive, Collector, api.ServerMet, Spoilt, api.ProxyMet]
+    assert [type(one) for one in found] == [Heartbeat, Collector, api.ServerMet, Malformed, api.ProxyMet]
 
 
 @pytest.mark.parametrize("sent", [
@@ -88,7 +88,7 @@
 ])
 def test_a_spoilt_report_is_dropped_alone(field, value):
     found = heard(JOIN, MET | {field: value}, CALLED)
-    assert [type(one) for one in found] == [Collector, Spoilt, api.ProxyMet], found
+    assert [type(one) for one in found] == [Collector, Malformed, api.ProxyMet], found
 
 
 @pytest.mark.parametrize("field,value", [
@@ -97,13 +97,13 @@
 ])
 def test_a_spoilt_count_of_calls_is_dropped_alone(field, value):
     found = heard(JOIN, CALLED | {field: value}, MET)
-    assert [type(one) for one in found] == [Collector, Spoilt, api.ServerMet], found
+    assert [type(one) for one in found] == [Collector, Malformed, api.ServerMet], found
 
 
 @pytest.mark.parametrize("absent", ["total", "errors", "rtt", "interval", "locality", "endpoint", "t"])
 def test_an_absent_field_spoils_a_report(absent):
     found = heard(JOIN, {name: value for name, value in MET.items() if name != absent}, CALLED)
-    assert [type(one) for one in found] == [Collector, Spoilt, api.ProxyMet], found
+    assert [type(one) for one in found] == [Collector, Malformed, api.ProxyMet], found
 
 
 @pytest.mark.parametrize("text", [
@@ -144,7 +144,7 @@
     ("owner", {"node": 1}),
 ])
 def test_spoilt_news_are_dropped(method, params):
-    with pytest.raises(SpoiltError):
+    with pytest.raises(MalformedError):
         told(method, **params)
 
 
@@ -245,7 +245,7 @@
     good = entry(1, started_ms=1_700_000_000_000)
     news = codec.members({"generation": 41, "reset": True, "instances": [good, *bad]}, NAMES)
     assert news.servers == (api.Server(1.0, 1, 1_700_000_000_000_000, 0, 0, "s-0001", api.READY),)
-    assert len(news.flaws) == 5 and news.unread == {"s-0002", "s-0003", "s-0004", "s-0005"}
+    assert len(news.errors) == 5 and news.unread == {"s-0002", "s-0003", "s-0004", "s-0005"}
     for odd in ([], {}, {"generation": -1, "reset": True, "instances": []},
                 {"generation": 1, "instances": []}, {"generation": 1, "reset": True, "instances": {}}):
         with pytest.raises(ValueError):
--- a/tests/node/test_configuration.py
+++ b/tests/node/test_configuration.py
@@ -57,9 +57,9 @@
 ])
 def test_an_error_names_file_place_value_and_what_is_allowed(tmp_path, change, why):
     environment = written(tmp_path, configuration(*PLACES) | change)
-    with pytest.raises(ConfigurationError) as flaw:
+    with pytest.raises(ConfigurationError) as error:
         read(environment)
-    assert str(flaw.value).startswith(environment["PROXY_CONFIG"]) and why in str(flaw.value)
+    assert str(error.value).startswith(environment["PROXY_CONFIG"]) and why in str(error.value)
 
 
 def test_a_file_that_is_absent_or_no_json(tmp_path):
--- a/tests/node/test_core.py
+++ b/tests/node/test_core.py
@@ -7,7 +7,7 @@
 from rainpick.node.codec import Call, members
 from rainpick.node.configuration import read
 from rainpick.node.core import Core, clock_maker
-from rainpick.node.inbox import Inbox
+from rainpick.node.mailbox import Mailbox
 from tests.node.platform import NAMES, configuration, entry
 
 PLACE = ("127.0.0.1", 1)
@@ -29,13 +29,13 @@
     path.write_text(json.dumps(configuration(PLACE, PLACE, PLACE)))
     known = members({"generation": 0, "reset": True, "instances": [entry(1)]}, NAMES)
     sent = []
-    made = Core(read({"PROXY_CONFIG": str(path)}), known, Inbox(), sent.append, Module)
+    made = Core(read({"PROXY_CONFIG": str(path)}), known, Mailbox(), sent.append, Module)
     made.step(made.clock())
     return made, made.stepper.director, sent
 
 
 def test_a_report_of_a_server_that_nobody_listed_is_dropped_and_counted(tmp_path):
-    """Spoilt, it names nobody, and would count among what the fleet answers and drops."""
+    """Malformed, it names nobody, and would count among what the fleet answers and drops."""
     made, module, _ = core(tmp_path)
     told, spoilt = (api.ServerMet(name, 0, 5, 5, 0, 500_000, ()) for name in ("s-0001", "s-ffff"))
     made.turn([], [spoilt, told, api.ProxyMet(1, 0, 3, 0, 500_000)])
--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -14,9 +14,9 @@
 from rainpick.node import watch as watch_module
 from rainpick.node.belief import Told
 from rainpick.node.codec import FrameReader, Ping, call
-from rainpick.node.door import Door
-from rainpick.node.inbox import Inbox
-from rainpick.node.relay import Calls, News
+from rainpick.node.listener import CollectorListener
+from rainpick.node.mailbox import Mailbox
+from rainpick.node.relay import Calls, Subscription
 from rainpick.node.watch import Watch
 from tests.node.platform import NAMES, Discovery, Peer, Relay, entry
 from tests.waiting import WAIT_S, until
@@ -72,48 +72,48 @@
             then()
 
 
-def stranger(door, peers):
-    """A peer that has dialled in and said nothing, as the door sees it."""
-    peers.append(Peer(door.address))
+def stranger(listener, peers):
+    """A peer that has dialled in and said nothing, as the listener sees it."""
+    peers.append(Peer(listener.address))
     name = "%s:%d" % peers[-1].sock.getsockname()
-    return until(lambda: [one for one in list(door.strangers) if one.peer == name], "its place")[0]
+    return until(lambda: [one for one in list(listener.strangers) if one.peer == name], "its place")[0]
 
 
 def opened(sockets=256):
-    door = Door(("127.0.0.1", 0), NAMES, sockets, Inbox())
-    door.lock = Opening()
-    door.start()
-    return door
+    listener = CollectorListener(("127.0.0.1", 0), NAMES, sockets, Mailbox())
+    listener.lock = Opening()
+    listener.start()
+    return listener
 
 
-def joins(door, stream, taken):
+def joins(listener, stream, taken):
     """The stream joins, in another thread as its reader would; whether it was taken up goes to ``taken``."""
-    thread = threading.Thread(target=door.collect, args=(stream, 0))
+    thread = threading.Thread(target=listener.collect, args=(stream, 0))
     thread.start()
     thread.join(WAIT_S)
-    taken.append(stream in door.collectors)
+    taken.append(stream in listener.collectors)
 
 
 def test_who_joins_while_late_strangers_are_closed_is_let_in_or_closed_never_both():
     """It was taken up as a collector and closed: its zone went without reports until it dialled again."""
-    door, peers, taken = opened(), [], []
-    late = stranger(door, peers)
-    door.strangers[late] = 0.0
-    door.lock.then = lambda: joins(door, late, taken)
-    door.sweep()
+    listener, peers, taken = opened(), [], []
+    late = stranger(listener, peers)
+    listener.strangers[late] = 0.0
+    listener.lock.then = lambda: joins(listener, late, taken)
+    listener.sweep()
     assert len(taken) == 1 and late.closed != taken[0]
     assert peers[0].read() == b""
-    door.listener.close()
+    listener.accepting.close()
 
 
 def test_who_joins_while_it_makes_room_for_the_newest_is_let_in_or_closed_never_both():
-    door, peers, taken = opened(sockets=4), [], []  # room for one stranger
-    first = stranger(door, peers)
-    door.lock.then = lambda: joins(door, first, taken)
-    stranger(door, peers)
-    until(lambda: taken and (first.closed or first in door.collectors), "an end to it")
+    listener, peers, taken = opened(sockets=4), [], []  # room for one stranger
+    first = stranger(listener, peers)
+    listener.lock.then = lambda: joins(listener, first, taken)
+    stranger(listener, peers)
+    until(lambda: taken and (first.closed or first in listener.collectors), "an end to it")
     assert first.closed != taken[0]
-    door.listener.close()
+    listener.accepting.close()
 
 
 # Calls to the relay
@@ -270,9 +270,9 @@
         return dial(place, timeout_s)
 
     monkeypatch.setattr(relay_module, "dial", dials)
-    news = News(relay.address, NAMES, found.extend)
+    news = Subscription(relay.address, NAMES, found.extend)
     threading.Thread(target=news.run, daemon=True).start()
-    until(lambda: Told(1, Ping()) in found, "a sign of life")
+    until(lambda: Told(1, Ping()) in found, "a heartbeat")
     news.move(other.address)
     until(lambda: found.count(Told(2, Ping())) > 2, "the stream at the new address")
     assert news.newest == 2 and len(news_threads()) == 1
--- a/tests/node/test_door.py
+++ b/tests/node/test_listener.py
@@ -8,10 +8,10 @@
 
 from rainpick import interface as api
 from rainpick.net.streams import Listener
-from rainpick.node import door as door_module
-from rainpick.node.codec import ALIVE
-from rainpick.node.door import Door
-from rainpick.node.inbox import Inbox
+from rainpick.node import listener as listener_module
+from rainpick.node.codec import HEARTBEAT_OK
+from rainpick.node.listener import CollectorListener
+from rainpick.node.mailbox import Mailbox
 from tests.node.platform import NAMES, Peer
 from tests.waiting import until
 
@@ -20,23 +20,23 @@
 
 @contextlib.contextmanager
 def opened(sockets=256):
-    inbox = Inbox()
-    door = Door(("127.0.0.1", 0), NAMES, sockets, inbox)
+    mailbox = Mailbox()
+    listener = CollectorListener(("127.0.0.1", 0), NAMES, sockets, mailbox)
     done = threading.Event()
 
     def sweep():
         while not done.wait(0.05):
-            door.sweep()
+            listener.sweep()
 
-    door.start()
+    listener.start()
     thread = threading.Thread(target=sweep)
     thread.start()
     try:
-        yield door, inbox
+        yield listener, mailbox
     finally:
         done.set()
         thread.join()
-        door.listener.close()
+        listener.accepting.close()
 
 
 def met(endpoint="s-1"):
@@ -44,12 +44,13 @@
             "interval": 500.0}
 
 
-def test_a_sign_of_life_is_answered_at_once_and_an_honest_collector_heard():
-    with opened() as (door, inbox):
-        assert Peer(door.address).send({"t": "hb"}).answer(len(ALIVE)) == ALIVE
-        peer = Peer(door.address).send({"t": "hb"}, {"t": "telemetry", "locality": "a"}, met(), {"t": "hb"})
-        assert peer.answer(2 * len(ALIVE)) == 2 * ALIVE
-        news, reports = inbox.take(5)
+def test_a_heartbeat_is_answered_at_once_and_an_honest_collector_heard():
+    with opened() as (listener, mailbox):
+        assert Peer(listener.address).send({"t": "hb"}).answer(len(HEARTBEAT_OK)) == HEARTBEAT_OK
+        peer = Peer(listener.address)
+        peer.send({"t": "hb"}, {"t": "telemetry", "locality": "a"}, met(), {"t": "hb"})
+        assert peer.answer(2 * len(HEARTBEAT_OK)) == 2 * HEARTBEAT_OK
+        news, reports = mailbox.take(5)
         assert not news and reports == [api.ServerMet("s-1", 0, 2, 1, 4000, 500_000, ())]
 
 
@@ -58,80 +59,80 @@
     [{"t": "hb"}], [met()], [{"t": "telemetry", "locality": "z"}],
 ])
 def test_who_does_not_join_is_closed_in_time(sent):
-    """One who asks for a sign of life and then holds its connection is no exception."""
-    with opened() as (door, _):
+    """One who asks for a heartbeat and then holds its connection is no exception."""
+    with opened() as (listener, _):
         begin = time.monotonic()
-        peer = Peer(door.address)
+        peer = Peer(listener.address)
         with contextlib.suppress(ConnectionError):
             peer.send(*([sent] if isinstance(sent, bytes) else sent))
         peer.read()
         assert time.monotonic() - begin < LATEST_S
-        until(lambda: not door.strangers, "the end of its place")
+        until(lambda: not listener.strangers, "the end of its place")
 
 
 def test_a_crowd_that_says_nothing_does_not_keep_a_collector_out():
     """Hundreds of silent connections filled all places; the oldest of them make room for the newest."""
-    with opened(sockets=64) as (door, inbox):
-        crowd = [Peer(door.address) for _ in range(200)]
-        honest = Peer(door.address).send({"t": "telemetry", "locality": "b"}, met())
-        until(lambda: inbox.reports, "the report")
-        assert door.status()["strangers"] <= 16
+    with opened(sockets=64) as (listener, mailbox):
+        crowd = [Peer(listener.address) for _ in range(200)]
+        honest = Peer(listener.address).send({"t": "telemetry", "locality": "b"}, met())
+        until(lambda: mailbox.reports, "the report")
+        assert listener.status()["strangers"] <= 16
         begin = time.monotonic()
         for peer in crowd:
             peer.read()
         assert time.monotonic() - begin < LATEST_S
         honest.send(met())
-        until(lambda: len(inbox.reports) == 2, "the second report")
+        until(lambda: len(mailbox.reports) == 2, "the second report")
 
 
 def test_of_a_zone_only_the_newest_collectors_are_kept():
     """A dead one is silent and would be kept for good, and descriptors grow through a long day."""
-    with opened() as (door, inbox):
+    with opened() as (listener, mailbox):
         peers = []
         for number in range(1, 8):
-            peers.append(Peer(door.address).send({"t": "telemetry", "locality": "a"}, met()))
-            until(lambda number=number: len(inbox.reports) == number, "its report")
-        assert len(door.collectors) == door_module.COLLECTORS_MOST
+            peers.append(Peer(listener.address).send({"t": "telemetry", "locality": "a"}, met()))
+            until(lambda number=number: len(mailbox.reports) == number, "its report")
+        assert len(listener.collectors) == listener_module.COLLECTORS_MOST
         assert peers[0].read() == b"", "nothing is written to a collector"
 
 
 def test_a_peer_that_does_not_read_is_let_go_and_holds_up_nobody():
-    with opened() as (door, _):
-        greedy = Peer(door.address)
+    with opened() as (listener, _):
+        greedy = Peer(listener.address)
         greedy.send({"t": "telemetry", "locality": "a"})
         with pytest.raises(ConnectionError):
             end = time.monotonic() + 10
             while time.monotonic() < end:
                 greedy.send(*[{"t": "hb"}] * 1000)
-        until(lambda: not door.collectors, "its end")
-        assert Peer(door.address).send({"t": "hb"}).answer(len(ALIVE)) == ALIVE
+        until(lambda: not listener.collectors, "its end")
+        assert Peer(listener.address).send({"t": "hb"}).answer(len(HEARTBEAT_OK)) == HEARTBEAT_OK
 
 
 def test_a_spoilt_report_is_dropped_and_a_stream_that_cannot_be_read_ended():
-    with opened() as (door, inbox):
-        peer = Peer(door.address).send({"t": "telemetry", "locality": "a"}, met() | {"total": -1}, met())
-        until(lambda: inbox.reports, "the sound report")
-        assert door.status()["spoilt"] == 1 and len(inbox.reports) == 1
+    with opened() as (listener, mailbox):
+        peer = Peer(listener.address).send({"t": "telemetry", "locality": "a"}, met() | {"total": -1}, met())
+        until(lambda: mailbox.reports, "the sound report")
+        assert listener.status()["malformed"] == 1 and len(mailbox.reports) == 1
         peer.send(b"\x99" * 64)
         assert peer.read() == b""
-        until(lambda: not door.collectors, "its end")
+        until(lambda: not listener.collectors, "its end")
 
 
 def test_no_thread_to_be_had_costs_that_peer_alone(monkeypatch):
     """The accepting thread ended with the first peer that no thread could be started for."""
-    with opened() as (door, _):
+    with opened() as (listener, _):
         def none(*_):
             raise RuntimeError("can't start new thread")
         with monkeypatch.context() as patch:
             patch.setattr("rainpick.net.streams._thread.start_new_thread", none)
-            assert Peer(door.address).read() == b""
-        assert Peer(door.address).send({"t": "hb"}).answer(len(ALIVE)) == ALIVE
+            assert Peer(listener.address).read() == b""
+        assert Peer(listener.address).send({"t": "hb"}).answer(len(HEARTBEAT_OK)) == HEARTBEAT_OK
 
 
 def test_a_failed_accept_does_not_end_the_front(monkeypatch):
     """Out of descriptors for a moment, and nobody was ever let in again."""
-    with opened() as (door, _):
-        real, failed = door.listener.socket, []
+    with opened() as (listener, _):
+        real, failed = listener.accepting.socket, []
 
         class Short:
             def accept(self):
@@ -143,9 +144,10 @@
             def __getattr__(self, name):
                 return getattr(real, name)
 
-        door.listener.socket = Short()
-        Peer(door.address).close()  # the accept under way is the real one's
-        assert Peer(door.address).send({"t": "hb"}).answer(len(ALIVE)) == ALIVE and len(failed) == 3
+        listener.accepting.socket = Short()
+        Peer(listener.address).close()  # the accept under way is the real one's
+        assert Peer(listener.address).send({"t": "hb"}).answer(len(HEARTBEAT_OK)) == HEARTBEAT_OK
+        assert len(failed) == 3
 
 
 def test_a_peer_that_is_reset_while_it_is_let_in_does_not_end_the_front():
--- a/tests/node/test_inbox.py
+++ b/tests/node/test_mailbox.py
@@ -4,25 +4,25 @@
 import json
 import threading
 
-from rainpick.node.inbox import Inbox
 from rainpick.node.log import BURST, Log
+from rainpick.node.mailbox import Mailbox
 
 
 def test_the_oldest_reports_are_shed_and_nothing_else():
-    inbox = Inbox(news_most=100, reports_most=3)
-    inbox.report(range(5))
-    inbox.put("joined", "left")
-    assert inbox.take(0) == (["joined", "left"], [2, 3, 4]) and inbox.shed == 2
-    assert inbox.take(0) == ([], [])
+    mailbox = Mailbox(news_most=100, reports_most=3)
+    mailbox.report(range(5))
+    mailbox.put("joined", "left")
+    assert mailbox.take(0) == (["joined", "left"], [2, 3, 4]) and mailbox.shed == 2
+    assert mailbox.take(0) == ([], [])
 
 
 def test_news_wait_for_room_and_are_never_lost():
-    inbox = Inbox(news_most=2)
-    thread = threading.Thread(target=lambda: [inbox.put(number) for number in range(50)])
+    mailbox = Mailbox(news_most=2)
+    thread = threading.Thread(target=lambda: [mailbox.put(number) for number in range(50)])
     thread.start()
     got = []
     while len(got) < 50:
-        news, _ = inbox.take(5)
+        news, _ = mailbox.take(5)
         assert 0 < len(news) <= 2
         got += news
     thread.join()
--- a/tests/node/test_node.py
+++ b/tests/node/test_node.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from rainpick.node.codec import ALIVE
+from rainpick.node.codec import HEARTBEAT_OK
 from tests.node.platform import Discovery, Peer, Relay, configuration, entry
 from tests.waiting import until
 
@@ -32,7 +32,7 @@
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(command or [sys.executable, "-m", "rainpick.node"], stderr=log,
                                             env=os.environ | {"PROXY_CONFIG": str(self.path)})
-        until(self.answers, "a sign of life")
+        until(self.answers, "a heartbeat")
 
     def tell(self, text=None):
         known = {"generation": 0, "reset": True, "instances": [entry(0), entry(1)]}
@@ -42,9 +42,9 @@
     def answers(self):
         with contextlib.suppress(OSError):
             peer = Peer(self.listen)
-            answer = peer.send({"t": "hb"}).answer(len(ALIVE))
+            answer = peer.send({"t": "hb"}).answer(len(HEARTBEAT_OK))
             peer.close()
-            return answer == ALIVE
+            return answer == HEARTBEAT_OK
 
     def lines(self):
         return [json.loads(line) for line in self.log.read_text().splitlines(keepends=True)
@@ -83,7 +83,7 @@
     until(lambda: node.withdrawn() == {"s-0002"}, "the withdrawal")
 
 
-def test_signs_of_life_while_discovery_and_relay_are_out_of_reach(node):
+def test_heartbeats_while_discovery_and_relay_are_out_of_reach(node):
     until(lambda: node.relay.readers, "a stream of news")
     node.discovery.close()
     node.relay.close()
--- a/tests/node/test_relay.py
+++ b/tests/node/test_relay.py
@@ -9,7 +9,7 @@
 from rainpick.node import relay as relay_module
 from rainpick.node.belief import Begun, Told
 from rainpick.node.codec import Merged, Ping, call
-from rainpick.node.relay import Calls, News
+from rainpick.node.relay import Calls, Subscription
 from tests.node.platform import NAMES, Relay
 from tests.waiting import until
 
@@ -134,7 +134,7 @@
 @contextlib.contextmanager
 def listening(relay):
     found = []
-    news = News(relay.address, NAMES, found.extend)
+    news = Subscription(relay.address, NAMES, found.extend)
     threading.Thread(target=news.run, daemon=True).start()
     yield news, found
 
@@ -152,7 +152,7 @@
 def test_news_begin_with_who_is_joined(relay):
     relay.attach(1)
     with listening(relay) as (_, found):
-        until(lambda: Told(1, Ping()) in found, "a sign of life")
+        until(lambda: Told(1, Ping()) in found, "a heartbeat")
         assert type(found[0]) is Begun
         relay.tell("detach", node=1)
         relay.tell("done", node=1, nonce=5, latency=2.5)
@@ -166,7 +166,7 @@
 def test_news_that_fall_silent_break_off_or_cannot_be_read_are_asked_for_anew(relay, monkeypatch):
     monkeypatch.setattr(relay_module, "SILENT_S", 0.5)
     with listening(relay) as (news, found):
-        until(lambda: Told(1, Ping()) in found, "a sign of life")
+        until(lambda: Told(1, Ping()) in found, "a heartbeat")
         relay.silent = True
         until(lambda: news.streams == 2, "a second stream after silence")
         relay.silent = False
@@ -181,7 +181,7 @@
     other = Relay()
     other.attach(2)
     with listening(relay) as (news, found):
-        until(lambda: Told(1, Ping()) in found, "a sign of life")
+        until(lambda: Told(1, Ping()) in found, "a heartbeat")
         news.move(other.address)
         until(lambda: events(found, 2) == [api.ProxyJoined(2, True, 10.0, 0)], "who is joined there")
         relay.tell("done", node=2, nonce=5, latency=2.5)
@@ -196,7 +196,7 @@
     monkeypatch.setattr(relay_module, "FORMER_S", 0.3)
     other = Relay()
     with listening(relay) as (news, found):
-        until(lambda: Told(1, Ping()) in found, "a sign of life")
+        until(lambda: Told(1, Ping()) in found, "a heartbeat")
         news.move(other.address)
         until(lambda: "Over 1" in turns(found), "the end of the old one")
         assert news.streams == 2
