Ports for directors that restart are none that the system deals out to others

Seen once in a run of tests/loopback on a busy machine: 'the director did not come within 10.0 s'; its log was not kept, so that this is the likely cause, not the proven one. free_ports closed sockets on port 0; until the director listened any other test's socket could be dealt the same port, and there are hundreds in a second. Now they lie below that range.

--- a/rainpick/standins/day.py
+++ b/rainpick/standins/day.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
+import secrets
 import signal
 import socket
 import subprocess
@@ -25,6 +27,7 @@
 
 START_S = 20.0  # a day that has not begun by then has failed
 LOOK_S = 0.5
+PORTS = range(20_000, 32_768)
 
 
 class DayError(Exception):
@@ -37,11 +40,13 @@
 
 
 def free_ports(many: int) -> list[int]:
-    held = [socket.create_server(("127.0.0.1", 0)) for _ in range(many)]
-    ports = [sock.getsockname()[1] for sock in held]
-    for sock in held:
-        sock.close()
-    return ports
+    """Below those that the system deals out, which could go to any socket while a director restarts."""
+    found: list[int] = []
+    while len(found) < many:
+        port = secrets.choice(PORTS)
+        with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", port)):
+            found += [] if port in found else [port]
+    return found
 
 
 def director_settings(scenario: Scenario, number: int, ports: list[int], folder: Path) -> dict[str, Any]:
--- a/tests/node/test_node.py
+++ b/tests/node/test_node.py
@@ -4,7 +4,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -12,19 +11,16 @@
 import pytest
 
 from rainpick.node.codec import HEARTBEAT_OK
+from rainpick.standins.day import free_ports
 from tests.node.platform import Discovery, Peer, Relay, configuration, entry
 from tests.waiting import until
 
 
-def free_place():
-    with socket.create_server(("127.0.0.1", 0)) as sock:
-        return sock.getsockname()
-
-
 class Running:
     def __init__(self, folder):
         self.discovery, self.relay = Discovery(*map(entry, range(6))), Relay()
-        self.listen, self.path, self.log = free_place(), folder / "config.json", folder / "log"
+        self.listen = "127.0.0.1", free_ports(1)[0]
+        self.path, self.log = folder / "config.json", folder / "log"
         self.tell()
         self.start()
 
