--- a/tests/node/test_core.py
+++ b/tests/node/test_core.py
@@ -4,11 +4,12 @@
 import time
 
 from rainpick import interface as api
+from rainpick.balance import Director
 from rainpick.node.codec import Call, members
 from rainpick.node.configuration import read
 from rainpick.node.core import Core, clock_maker
 from rainpick.node.mailbox import Mailbox
-from tests.node.platform import NAMES, configuration, entry
+from tests.node.platform import NAMES, SETTINGS, configuration, entry
 
 PLACE = ("127.0.0.1", 1)
 
@@ -68,3 +69,51 @@
     before = clock()
     monkeypatch.setattr(time, "time_ns", lambda: 0)
     assert clock() >= before
+
+
+OTHER = SETTINGS | {
+    "grades": [{"name": name, "sloUs": 90_000, "hardLimitUs": 250_000, "repeat": "unsafe", "worth": worth}
+               for name, worth in (("browse", 1.0), ("pay", 9.0), ("hold", 3.0))],
+    "failureDomains": ["x", "y", "z"], "machineTypes": ["old"],
+    "stats": {"names": ["lat_ms"], "source": "pull"},
+    "domain": SETTINGS["domain"] | {"proxyCount": 300, "head": 2.0, "linesPerS": 900.0, "pushesAllowed": 4,
+                                    "countedOverUs": 10_000_000, "admit": "ratio"},
+    "safety": SETTINGS["safety"] | {"warmAfterUs": 3_000_000, "startCapacity": 0.5},
+}
+
+
+def lives(tmp_path, name, settings):
+    """A day of one director, a turn at a time: each turn gives the calls that it sent."""
+    path = tmp_path / f"{name}.json"
+    path.write_text(json.dumps(configuration(PLACE, PLACE, PLACE, settings=settings)))
+    told, sent, now = read({"PROXY_CONFIG": str(path)}), [], [1_000_000_000]
+    place = {"zone": settings["failureDomains"][0], "machineType": settings["machineTypes"][0]}
+    servers = [entry(number, **place) for number in range(9)]
+    known = members({"generation": 0, "reset": True, "instances": servers}, told.names)
+    made = Core(told, known, Mailbox(), sent.append, Director)
+    made.clock = lambda: now[0]
+    made.step(now[0])
+    for turn in range(12):
+        now[0] += 300_000
+        made.stepped_us = 0
+        change = entry(turn % 9, "Terminating" if turn % 2 else "Ready", started_ms=1_000 + turn, **place)
+        news = members({"generation": turn + 1, "reset": False, "instances": [change]}, told.names)
+        heard = [api.ServerMet(f"s-{number:04x}", 0, 20, turn, 40_000, 500_000, ()) for number in range(9)]
+        made.stepper.events += [api.ProxyJoined(turn, True, 10.0 + turn, 0)]
+        made.turn([news], heard)
+        yield list(sent)
+
+
+def test_directors_of_different_customers_in_one_process_share_nothing(tmp_path):
+    """What one holds, or reads from its settings, must not show in what the other orders."""
+    alone = [list(lives(tmp_path, "one", SETTINGS))[-1], list(lives(tmp_path, "two", OTHER))[-1]]
+    *_, together = zip(lives(tmp_path, "one", SETTINGS), lives(tmp_path, "two", OTHER), strict=True)
+    assert list(together) == alone
+    assert alone[0] and alone[1] and alone[0] != alone[1]
+
+
+def test_words_of_a_load_report_that_nobody_has_heard_of_are_read_by_their_name(tmp_path):
+    told = configuration(PLACE, PLACE, PLACE, settings=SETTINGS | {"stats": {"names": ["heat", "busy"]}})
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(told))
+    assert read({"PROXY_CONFIG": str(path)}).names.loads == ("heat", "util")
--- a/tests/node/test_listener.py
+++ b/tests/node/test_listener.py
@@ -9,7 +9,7 @@
 from rainpick import interface as api
 from rainpick.net.streams import Listener
 from rainpick.node import listener as listener_module
-from rainpick.node.codec import HEARTBEAT_OK
+from rainpick.node.codec import HEARTBEAT_OK, frame
 from rainpick.node.listener import CollectorListener
 from rainpick.node.mailbox import Mailbox
 from tests.node.platform import NAMES, Peer
@@ -54,6 +54,16 @@
         assert not news and reports == [api.ServerMet("s-1", 0, 2, 1, 4000, 500_000, ())]
 
 
+def test_a_heartbeat_in_single_bytes_and_several_in_one_piece_are_answered():
+    with opened() as (listener, _):
+        peer = Peer(listener.address)
+        for byte in frame({"t": "hb"}):
+            peer.send(bytes([byte]))
+        assert peer.answer(len(HEARTBEAT_OK)) == HEARTBEAT_OK
+        peer.send(3 * frame({"t": "hb"}) + frame({"t": "hb"})[:5])
+        assert peer.answer(3 * len(HEARTBEAT_OK)) == 3 * HEARTBEAT_OK
+
+
 @pytest.mark.parametrize("sent", [
     b"", b"\x20\x00\x00\x00{\"t\":", b"\x10\x00", b"GET / HTTP/1.1\r\n\r\n", b"\xff" * 9000,
     [{"t": "hb"}], [met()], [{"t": "telemetry", "locality": "z"}],
