A call that is said again counts twice in the channel and in what a proxy may be written

Seen by reading, and shown by construction: a call in doubt is sent whole once more. Was it carried out, its lines wait twice and each proxy it reached was written two messages, yet the module counted one (balance.seal).

Change: Calls tells the marks of calls in doubt, the core hands them to the module as api.Repeated, and the module counts the lines and the message again until the mark is answered. A call that was refused was not carried out and counts once. The repeat itself is not put off, as withdrawals may be in it: that a queue nearly full is filled over by it is open.

--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -245,6 +245,14 @@
         while proxy and any(mark == event.number for mark, _ in proxy.unread):
             self.waiting -= proxy.unread.popleft()[1]
 
+    def repeated(self, event):
+        """If it was carried out its lines wait twice, and each proxy it reached has one message less left."""
+        for proxy in self.proxies.values():
+            lines = next((lines for mark, lines in proxy.unread if mark == event.number), 0)
+            if lines:
+                proxy.unread.appendleft((event.number, lines))
+                self.waiting, proxy.tokens = self.waiting + lines, proxy.tokens - 1
+
     def met(self, event):
         held = self.servers.get(event.server)
         self.ended.add(self.bucket, event.tries, event.dropped, event.span_us, 1)
@@ -272,7 +280,7 @@
 
     HEAR = {
         api.Listed: listed, api.TimerDue: timer, api.ProxyJoined: joined, api.ProxyLeft: left,
-        api.Applied: applied, api.ServerMet: met, api.ProxyMet: called,
+        api.Applied: applied, api.Repeated: repeated, api.ServerMet: met, api.ProxyMet: called,
         api.SliceGiven: slice_given, api.SliceLine: slice_line,
     }
 
--- a/rainpick/interface.py
+++ b/rainpick/interface.py
@@ -85,6 +85,12 @@
     took_us: int
 
 
+class Repeated(NamedTuple):
+    """What was ordered under this mark is written again: it may have been carried out without an answer."""
+
+    number: int
+
+
 class ServerMet(NamedTuple):
     """What the joined proxies of a zone met at a server."""
 
--- a/rainpick/node/belief.py
+++ b/rainpick/node/belief.py
@@ -107,7 +107,7 @@
         before = self.joined.get(event.proxy)
         if type(event) is api.Applied:
             return [] if before is None else [
-                event._replace(number=mark) for mark in (*self.earlier.get(event.number, ()), event.number)]
+                event._replace(number=mark) for mark in self.marks(event.number)]
         if news.stream != self.current:
             return [] if before is None or news.stream in self.overtaken else [before]
         if type(event) is api.ProxyLeft:
@@ -133,11 +133,15 @@
         self.former, self.gapless = None, False
         return [self.joined[proxy] for proxy in sorted(doubted & self.joined.keys())]
 
+    def marks(self, number: int) -> tuple[int, ...]:
+        """This mark and those that it stands for too, in their order."""
+        return *self.earlier.get(number, ()), number
+
     def merged(self, told: Merged) -> None:
         """Calls went as one: a proxy that was reached by an earlier one alone answers the last one's mark."""
         self.earlier.pop(told.number, None)
         self.earlier[told.number] = tuple(
-            mark for one in told.earlier for mark in (*self.earlier.get(one, ()), one))
+            mark for one in told.earlier for mark in self.marks(one))
         while len(self.earlier) > MERGED_MOST:
             del self.earlier[next(iter(self.earlier))]
 
--- a/rainpick/node/codec.py
+++ b/rainpick/node/codec.py
@@ -300,6 +300,12 @@
     earlier: tuple[int, ...]
 
 
+class Doubt(NamedTuple):
+    """The call with this mark may have been carried out, and is said again."""
+
+    number: int
+
+
 def subject(order: object) -> tuple | None:
     """What an order settles: a newer one on the same makes it void. None: it must be kept as it is."""
     match order:
--- a/rainpick/node/core.py
+++ b/rainpick/node/core.py
@@ -9,7 +9,7 @@
 from rainpick.balance import Director
 from rainpick.director.stepper import Stepper
 from rainpick.node.belief import Listing, Roster
-from rainpick.node.codec import Call, Members, Merged, call
+from rainpick.node.codec import Call, Doubt, Members, Merged, call
 from rainpick.node.configuration import Configuration
 from rainpick.node.log import log
 from rainpick.node.mailbox import Mailbox
@@ -72,6 +72,8 @@
             self.stepper.events.append(self.listing.take(item))
         elif kind is Merged:
             self.roster.merged(item)
+        elif kind is Doubt:
+            self.stepper.events += [api.Repeated(mark) for mark in self.roster.marks(item.number)]
         else:
             self.stepper.events += self.roster.take(item)
 
--- a/rainpick/node/relay.py
+++ b/rainpick/node/relay.py
@@ -12,6 +12,7 @@
 from rainpick.node.belief import Begun, Over, Told
 from rainpick.node.codec import (
     Call,
+    Doubt,
     LineReader,
     MalformedError,
     Merged,
@@ -50,10 +51,11 @@
     """Sends calls strictly in order. One that may or may not have been carried out is sent again, whole,
     before anything newer: repeated in its place it is harmless, as every order says how things are to be.
 
-    Calls that had to wait go as one, see ``codec.merged``; ``tell`` is handed what their marks stand for.
+    Calls that had to wait go as one, see ``codec.merged``; ``tell`` is handed what their marks stand for, and
+    the marks that are said again.
     """
 
-    def __init__(self, place: tuple[str, int], routes: list[str], tell: Callable[[Merged], None]):
+    def __init__(self, place: tuple[str, int], routes: list[str], tell: Callable[[Merged | Doubt], None]):
         self.place, self.routes, self.tell, self.queue = place, routes, tell, queue.SimpleQueue()
         self.waiting: list[Call] = []  # taken from the queue and not yet answered, the next one first
         self.finishing: list[threading.Event] = []  # to be set once nothing waits
@@ -143,6 +145,8 @@
             self.counts["again"] += 1
             log.warning("call in doubt, sent again", why=str(error), orders=part.many())
             self.close()
+            if part.mark is not None:
+                self.tell(Doubt(part.mark.number))
             return call
         if type(taken) is NotTaken:
             self.counts["busy"] += 1
--- a/rainpick/record/steps.py
+++ b/rainpick/record/steps.py
@@ -14,7 +14,7 @@
     api.Started, api.Listed, api.TimerDue, api.ProbeEnded, api.PeerSaid, api.ProxyJoined, api.ProxyLeft,
     api.Applied, api.ServerMet, api.ProxyMet, api.SliceMet, api.SliceGiven, api.SliceLine, api.SetLine,
     api.ClearTable, api.Withdraw, api.Mark, api.Bind, api.Admit, api.Probe, api.Tell, api.SetTimer,
-    api.Subscribe, api.FetchList, api.Note)
+    api.Subscribe, api.FetchList, api.Note, api.Repeated)
 CODES = {kind: place for place, kind in enumerate(TYPES)}
 # What a life says of the types in it: name and fields, by number; the last is an entry of a list.
 SAID = tuple((kind.__name__, *kind._fields) for kind in (*TYPES, api.Server))
--- a/tests/node/test_core.py
+++ b/tests/node/test_core.py
@@ -5,7 +5,7 @@
 
 from rainpick import interface as api
 from rainpick.balance import Director
-from rainpick.node.codec import Call, members
+from rainpick.node.codec import Call, Doubt, Merged, members
 from rainpick.node.configuration import read
 from rainpick.node.core import Core, clock_maker
 from rainpick.node.mailbox import Mailbox
@@ -117,3 +117,9 @@
     path = tmp_path / "config.json"
     path.write_text(json.dumps(told))
     assert read({"PROXY_CONFIG": str(path)}).names.loads == ("heat", "util")
+
+
+def test_a_call_in_doubt_is_told_to_the_module_with_all_that_its_mark_stands_for(tmp_path):
+    made, module, _ = core(tmp_path)
+    made.turn([Merged(7, (5, 6)), Doubt(7), Doubt(9)], [])
+    assert module.heard[2:] == [api.Repeated(5), api.Repeated(6), api.Repeated(7), api.Repeated(9)]
--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -13,7 +13,7 @@
 from rainpick.node import relay as relay_module
 from rainpick.node import watch as watch_module
 from rainpick.node.belief import Told
-from rainpick.node.codec import FrameReader, Ping, call
+from rainpick.node.codec import Doubt, FrameReader, Ping, call
 from rainpick.node.listener import CollectorListener
 from rainpick.node.mailbox import Mailbox
 from rainpick.node.relay import Calls, Subscription
@@ -216,6 +216,15 @@
     assert cleared(relay) == [1, 2, 3, 4, 6, 7, 8, 9]
 
 
+def test_a_call_that_is_said_again_is_told_by_its_mark(relay):
+    """Carried out and not answered, it waits twice in the channel: the module must know."""
+    told, relay.ways = [], ["unheard", "busy"]
+    calls = begun(Calls(relay.address, list(NAMES.routes), told.append))
+    calls.put(call([api.ClearTable(1), api.Mark(8, False)]))
+    until(lambda: cleared(relay) == [1, 1] and calls.counts["calls"] == 1, "the call, twice")
+    assert told == [Doubt(8)], "what was refused was not carried out"
+
+
 def test_what_is_ordered_while_the_relay_is_away_does_not_pile_up(relay):
     place = relay.address
     relay.close()
--- a/tests/play.py
+++ b/tests/play.py
@@ -9,6 +9,7 @@
     MS: start | cached a b | full a b | list a:drain     a director starts; the list as cached, whole, changes
     MS: join P [RATE [ZONE]] | left P | deaf P           a proxy joins or leaves; it answers no mark any more
     MS: met a TRIES DROPPED [MEAN_MS [SPAN_MS]]          a report of what the proxies met at a server
+    MS: again MARK                                       what had this mark may have been written twice
     MS: calls P ROUTE N                                  a report of what came to a proxy in the last second
     MS: probed a OUTCOME                                 a probe's end, by the interface's number
     MS: stall MS2                                        no batch before MS2; then all at once
@@ -65,6 +66,8 @@
         if verb == "met":
             tries, dropped, mean, span = (*map(int, words[1:]), *(50, 1000)[len(words) - 3:])
             return api.ServerMet(words[0], 0, tries, dropped, mean * 1000, span * 1000, ())
+        if verb == "again":
+            return api.Repeated(int(words[0]))
         if verb == "calls":
             return api.ProxyMet(*map(int, words), 0, 1_000_000)
         assert verb == "probed", f"no event is called {verb}"
