Withdrawals are counted for those unbound proxies alone that may hold the server

Checked with a trace of every step of the director n2, the only one left of five, to which all 1,648 proxies came at 16 to 17 s: 684 of them stayed unbound to the end. From 18.7 s on the queue stood at 30,000 to 36,300 of 36,300 lines by the module's reckoning; at 33.6 s 32,914 of these were of unbound proxies and none of bound ones, the oldest unanswered for 15 s. Ruled out: a director short of its core (3.4 s of CPU in 10 s), calls in doubt (none), a late list (told at 15.2 s, withdrawn in the same step).

At fault: balance.lay and change counted a withdrawal as a message to every unbound proxy. It reaches those that hold the server; the others never answer its mark, and what they were counted for stayed until a bind, which waited for that very room.

Change: who is not bound yet waits at the table that it will get, which is the one that a former director laid; a withdrawal counts for those of the server's tables, and for all who hold only their standing table.

--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -123,6 +123,7 @@
         self.number, self.zone, self.used = number, zone, False
         self.proxies, self.said, self.lines = {}, {}, 0  # who is bound; levels as told; lines in this step
         self.warm, self.most, self.cold_part = 0.0, 1e-9, 1.0  # warm weight; its most; what cold lines get
+        self.loose = None if number is None else Table(None)  # who will be bound to it and may hold it yet
 
 
 class Proxy:
@@ -130,7 +131,7 @@
 
     def __init__(self, event, now):
         self.number, self.zone, self.rate = event.proxy, event.zone, event.rate
-        self.table, self.joined_us = None, now
+        self.place, self.joined_us = None, now  # the table, or those not bound yet, that it is among
         self.calls = {}  # by route: calls that came, and over how many microseconds
         self.unread = deque()  # (mark, lines) of messages not yet answered
         self.tokens, self.filled_us = 1e9, now  # messages that it may be written, and when that was counted
@@ -231,14 +232,23 @@
         if before:  # nobody saw it leave, if it did: what it was written may wait in the channel yet
             proxy.unread, proxy.tokens, proxy.filled_us = before.unread, before.tokens, before.filled_us
             self.waiting += sum(lines for _, lines in proxy.unread)
-        self.proxies[event.proxy] = self.loose.proxies[event.proxy] = proxy
+        proxy.place = self.loose if event.fresh or not self.tables else self.home(proxy).loose
+        self.proxies[event.proxy] = proxy.place.proxies[event.proxy] = proxy
         self.urgent = True
 
     def left(self, event):
         proxy = self.proxies.pop(event.proxy, None)
         if proxy:
             self.waiting -= sum(lines for _, lines in proxy.unread)
-            (proxy.table or self.loose).proxies.pop(event.proxy)
+            proxy.place.proxies.pop(event.proxy)
+
+    def unbound(self):
+        return [proxy for place in (self.loose, *(table.loose for table in self.tables))
+                for proxy in place.proxies.values()]
+
+    def reach(self, held):
+        """Who is not bound yet and may hold the server: what a former director laid, or anything."""
+        return [self.loose, *(table.loose for table in held.tables or self.tables)]
 
     def applied(self, event):
         proxy = self.proxies.get(event.proxy)
@@ -561,7 +571,7 @@
 
     def deal(self):
         """Put each server on its tables, those with the least of its type; fill up a table that got thin."""
-        for proxy in self.loose.proxies.values():
+        for proxy in self.unbound():
             self.home(proxy).used = True
         weights, fresh = defaultdict(float), []  # by table, type and if far; by table alone: what is usable
         for held in self.servers.values():
@@ -642,11 +652,12 @@
         for held in sorted(closing, key=lambda held: (held.state == READY, held.doubted)):
             gone, orders = held.state == GONE, [api.Withdraw(held.entry.address, True)]
             orders += [api.SetLine(number, held.entry.address, 0.0) for number in held.told if gone]
-            tables = [table for table in held.tables if table.number in held.told] + [self.loose]
+            own = [table for table in held.tables if table.number in held.told]
+            tables = own + self.reach(held)
             least, spared = (2, keep_bind) if held.state == READY or held.doubted else (1, 0)
             if self.put(orders, tables, 1 + gone, least, spared):
                 held.shut, held.told = True, {} if gone else held.told
-            for table in tables[:-1] if least == 1 and not held.shut else ():
+            for table in own if least == 1 and not held.shut else ():
                 # Not all their proxies have a message now, and drains that share tables take it from each
                 # other: then each table lets go of it as it can.
                 if self.put([api.SetLine(table.number, held.entry.address, 0.0)], [table], 1, 1, 0):
@@ -680,7 +691,8 @@
                 spare = table in reserved or held in warm and not alone
                 self.change(held, 1 + spare, keep_bind if spare else 0, [table])
         # Ramp steps leave a message more: a zone that is back costs several before all its starts are known.
-        self.due = [held for held in self.due if self.loose.proxies or not self.change(held, 3, keep)]
+        waits = bool(self.unbound())
+        self.due = [held for held in self.due if waits or not self.change(held, 3, keep)]
         self.seal()
 
     def change(self, held, least, keep, needy=None):
@@ -706,7 +718,8 @@
         orders = [api.SetLine(table.number, address, told.get(table.number, 0.0)) for table in stale]
         if held.shut and not gone:
             orders.append(api.Withdraw(address, False))
-            stale = [table for table in held.tables if table.number in told or table in stale] + [self.loose]
+            stale = [table for table in held.tables if table.number in told or table in stale]
+            stale += self.reach(held)
         if not self.put(orders, stale, 1 + (held.shut and not gone), least, keep):
             return False
         held.shut, held.told = held.shut and gone, told
@@ -718,18 +731,18 @@
         for held in self.servers.values():
             for number in held.told:
                 sizes[number] += 1 + held.shut
-        for number, proxy in sorted(self.loose.proxies.items(), key=lambda item: (-item[1].rate, item[0])):
+        for proxy in sorted(self.unbound(), key=lambda proxy: (-proxy.rate, proxy.number)):
             table = self.home(proxy)
             lines = self.head + 1 + len(table.said) + sizes[table.number]
             if self.spare - keep >= lines and self.tokens(proxy) >= 1:
-                self.orders.append(api.Bind(table.number, api.ALL_ROUTES, number))
-                self.spare, proxy.table = self.spare - lines, table
-                self.written.append((proxy, lines + self.loose.lines))
-                table.proxies[number] = self.loose.proxies.pop(number)
+                self.orders.append(api.Bind(table.number, api.ALL_ROUTES, proxy.number))
+                self.written.append((proxy, lines + proxy.place.lines))
+                table.proxies[proxy.number] = proxy.place.proxies.pop(proxy.number)
+                self.spare, proxy.place = self.spare - lines, table
 
     def seal(self):
         """Mark what was written in this step; it waits in the channel until a proxy has answered."""
-        for table in (*self.tables, self.loose):
+        for table in (*self.tables, self.loose, *(table.loose for table in self.tables)):
             lines, table.lines = table.lines and table.lines + self.head, 0
             self.written += [(proxy, lines) for proxy in table.proxies.values() if lines]
         self.mark = (self.mark + 1) % 65536
--- a/rainpick/record/inspect.py
+++ b/rainpick/record/inspect.py
@@ -174,7 +174,7 @@
     if held is None:
         raise InspectError(f"proxy {number} has not joined; there are {some(sorted(director.proxies))}")
     tokens = director.tokens(copy.copy(held))
-    return {"proxy": number, "zone": held.zone, "table": None if held.table is None else held.table.number,
+    return {"proxy": number, "zone": held.zone, "table": held.place.number,
             "home": director.home(held).number if director.tables else None,
             "joined_ago_s": (director.now - held.joined_us) / 1e6, "usual_calls_per_s": held.rate,
             "messages_left": None if director.get("proxies.pushes_allowed", 0) <= 1 else tokens,
@@ -183,7 +183,7 @@
 
 def fleet(director: Director) -> dict[str, Any]:
     states = [STATES.get(held.state, "missing") for held in director.servers.values()]
-    return {"proxies": len(director.proxies), "not_bound": len(director.loose.proxies),
+    return {"proxies": len(director.proxies), "not_bound": len(director.unbound()),
             "servers": {state: states.count(state) for state in sorted(set(states))},
             "tables": sum(one.used for one in director.tables), "lines_waiting": director.waiting,
             "queue": director.pending, "answering": director.answering, "load_in_slo_times": director.load,
--- a/tests/play.py
+++ b/tests/play.py
@@ -8,6 +8,7 @@
     set NAME=VALUE ...        settings, before the start
     MS: start | cached a b | full a b | list a:drain     a director starts; the list as cached, whole, changes
     MS: join P [RATE [ZONE]] | left P | deaf P           a proxy joins or leaves; it answers no mark any more
+    MS: back P [RATE [ZONE]]                             one joins that holds what another director laid
     MS: met a TRIES DROPPED [MEAN_MS [SPAN_MS]]          a report of what the proxies met at a server
     MS: again MARK                                       what had this mark may have been written twice
     MS: calls P ROUTE N                                  a report of what came to a proxy in the last second
@@ -56,10 +57,10 @@
         if verb in ("cached", "full", "list"):
             kind = {"cached": api.CACHED, "full": api.FULL, "list": api.DELTA}[verb]
             return api.Listed(kind, tuple(self.server(word) for word in words), 1)
-        if verb == "join":
+        if verb in ("join", "back"):
             number, rate, zone = (*map(int, words), *(1, 0)[len(words) - 1:])
             self.joined[number], self.writes[number] = None, []
-            return api.ProxyJoined(number, True, float(rate), zone)
+            return api.ProxyJoined(number, verb == "join", float(rate), zone)
         if verb == "left":
             del self.joined[int(words[0])]
             return api.ProxyLeft(int(words[0]))
