In a long grace binds go first, and drains table by table while many proxies wait to be bound

Checked with a trace of what each kind of order puts into the queue of the one director left of five (1,493 proxies from 17.5 s on, 2,100 lines a second, a queue of 36,900, a grace of 18.4 s): 14,218 lines of 642 binds by 18.5 s, then binds stop at three eighths of the grace; 13,677 lines of withdrawals at 18.9 s, 8,346 at 22.1 s; from 19.5 to 29 s six binds, the last ones at 35.7 s, read 7 s later. Of the withdrawals' lines 9,369 were of proxies not bound yet.

At fault: balance.lay let withdrawals go before binds without end, though a bind carries all that its proxy must know, and both are bound by the same grace; and it wrote withdrawals to proxies that were to be bound a moment later.

Change: where the grace leaves more than 2.5 s (1.25 ticks) beyond what is late anyway, binds may fill four fifths of what is read in the rest of it, at most three quarters of the queue; until all are bound, drains are taken off table by table.

--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -34,6 +34,7 @@
 
 ROOM = 0.5  # ramp steps leave this part of the channel's queue to withdrawals, binds half of that
 QUEUE = 0.5  # what binds and ramp steps fill lasts for this part of the grace at most
+LONG, LONG_US, LONG_QUEUE = 0.8, 1.25 * TICK_US, 0.75  # binds: of a grace beyond that; of the queue
 BURST = 0.4  # of the messages that a proxy may be written, this part may go out at once
 
 DEEP_LOAD = 2.7  # cold servers get less from this part of the fall multiple on, as middle time in SLO times
@@ -619,6 +620,12 @@
         """Write what changed: withdrawals at once, ramp steps by the tick, binds as the queue allows."""
         room = min(self.pending, QUEUE * self.grace_lines)
         keep, keep_bind = self.pending - ROOM * room, self.pending - (1 + ROOM) / 2 * room
+        # A grace with time enough lets binds go first: with all proxies on one director those that waited
+        # behind withdrawals were read after the grace that they came with. Then drains go table by table: who
+        # is to be bound soon would be written them as well.
+        long = LONG * self.grace_lines * (1 - LONG_US / self.get("rules.drain_grace_us", LONG_US))
+        keep_bind = min(keep_bind, self.pending - min(long, LONG_QUEUE * self.pending))
+        rush = long > (1 + ROOM) / 2 * room and self.unbound()
         self.spare = self.pending - self.waiting
         warm = {held: None for held in self.servers.values() if self.warm(held)}
         for held in warm if all(held.eject_until for held in warm) else ():
@@ -655,7 +662,7 @@
             own = [table for table in held.tables if table.number in held.told]
             tables = own + self.reach(held)
             least, spared = (2, keep_bind) if held.state == READY or held.doubted else (1, 0)
-            if self.put(orders, tables, 1 + gone, least, spared):
+            if not (rush and least == 1) and self.put(orders, tables, 1 + gone, least, spared):
                 held.shut, held.told = True, {} if gone else held.told
             for table in own if least == 1 and not held.shut else ():
                 # Not all their proxies have a message now, and drains that share tables take it from each
