A move between two turns of the watch asks the new address for the whole list as well

It is now decided where the turn takes its client. test_crossings moves in that very place and fails on the text before.

--- a/rainpick/node/watch.py
+++ b/rainpick/node/watch.py
@@ -40,9 +40,11 @@
         old.abort()
 
     def run(self) -> None:
-        tries = 0
+        tries, former = 0, None
         while True:
             client = self.client
+            if client is not former:
+                tries, self.whole, former = 0, True, client  # versions may not be the same there
             try:
                 self.turn(client)
                 if tries:
@@ -58,7 +60,6 @@
                     tries += 1
             if client is not self.client:
                 client.close()
-                tries, self.whole = 0, True  # nobody says that the versions are the same there
 
     def turn(self, client: Client) -> None:
         """One call and its answer."""
--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -345,6 +345,39 @@
     other.close()
 
 
+def test_a_move_between_two_turns_asks_the_new_address_for_the_whole_list(discovery):
+    """The turn had looked whether it was the same address still: the new one was asked for changes since the
+    old one's version."""
+    other, found = Discovery(entry(3)), []
+
+    class Moving(Watch):
+        """``client`` is looked at, and then another thread moves."""
+
+        armed = False
+
+        @property
+        def client(self):
+            now = self.held
+            if self.armed:
+                self.armed = False
+                self.move(other.address)
+            return now
+
+        @client.setter
+        def client(self, client):
+            self.held = client
+
+    def give(news):
+        found.append(news)
+        watch.armed = len(found) == 1
+
+    watch = Moving(discovery.address, NAMES, give)
+    threading.Thread(target=watch.run, daemon=True).start()
+    until(lambda: other.asked, "the new address")
+    assert other.asked[0] == "/catalog/members"
+    other.close()
+
+
 def test_an_old_list_that_comes_late_undoes_nothing(discovery):
     """A server that drains stood as ready again."""
     watch, found = following(discovery)
