--- a/tests/node/platform.py
+++ b/tests/node/platform.py
@@ -9,6 +9,7 @@
 from rainpick.http1.server import Answer, Server
 from rainpick.node.codec import LineReader, frame
 from rainpick.node.configuration import Names
+from rainpick.node.watch import Watch
 from tests.waiting import WAIT_S
 
 NAMES = Names({"a": 0, "b": 1}, {"lookup": 0, "commit": 1}, {"m1": 0, "m2": 1}, ("util", "queue"), 6, 4000.0)
@@ -209,6 +210,21 @@
         self.server.close()
 
 
+def cleared(relay):
+    return [order["cluster"] for order in relay.orders("clear")]
+
+
+def following(discovery):
+    found = []
+    watch = Watch(discovery.address, NAMES, found.append)
+    threading.Thread(target=watch.run, daemon=True).start()
+    return watch, found
+
+
+def states(found):
+    return [{one.address: one.state for one in news.servers} for news in found]
+
+
 def configuration(listen, discovery, relay, **more):
     """The file's tree."""
     return {
--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -18,7 +18,7 @@
 from rainpick.node.mailbox import Mailbox
 from rainpick.node.relay import Calls, Subscription
 from rainpick.node.watch import Watch
-from tests.node.platform import NAMES, Discovery, Peer, Relay, entry
+from tests.node.platform import NAMES, Discovery, Peer, Relay, cleared, entry, following, states
 from tests.waiting import WAIT_S, until
 
 JOINING = {"t": "telemetry", "locality": "a"}
@@ -119,21 +119,10 @@
 # Calls to the relay
 
 
-@pytest.fixture
-def relay():
-    made = Relay()
-    yield made
-    made.close()
-
-
 def step(*tables):
     return call([api.ClearTable(table) for table in tables])
 
 
-def cleared(relay):
-    return [order["cluster"] for order in relay.orders("clear")]
-
-
 def calling(relay):
     return Calls(relay.address, list(NAMES.routes), lambda told: None)
 
@@ -291,24 +280,6 @@
 # Discovery
 
 
-@pytest.fixture
-def discovery():
-    made = Discovery(entry(1), entry(2))
-    yield made
-    made.close()
-
-
-def following(discovery):
-    found = []
-    watch = Watch(discovery.address, NAMES, found.append)
-    threading.Thread(target=watch.run, daemon=True).start()
-    return watch, found
-
-
-def states(found):
-    return [{one.address: one.state for one in news.servers} for news in found]
-
-
 def test_a_move_while_the_old_address_is_dialled_asks_nothing_there(discovery, monkeypatch):
     """There was no socket to interrupt yet: the old address was asked, for a whole time limit."""
     other, connect = Discovery(entry(3)), socket.create_connection
--- a/tests/node/test_relay.py
+++ b/tests/node/test_relay.py
@@ -10,17 +10,10 @@
 from rainpick.node.belief import Begun, Told
 from rainpick.node.codec import Merged, Ping, call
 from rainpick.node.relay import Calls, Subscription
-from tests.node.platform import NAMES, Relay
+from tests.node.platform import NAMES, Relay, cleared
 from tests.waiting import until
 
 
-@pytest.fixture
-def relay():
-    made = Relay()
-    yield made
-    made.close()
-
-
 def sending(relay):
     made = Calls(relay.address, list(NAMES.routes), lambda told: None)
     threading.Thread(target=made.run, daemon=True).start()
@@ -32,10 +25,6 @@
     return call(orders + ([api.Mark(mark, False)] if mark is not None else []))
 
 
-def cleared(relay):
-    return [order["cluster"] for order in relay.orders("clear")]
-
-
 @pytest.mark.parametrize("way,carried", [
     ("busy", [1, 2, 3]),  # not carried out: it is sent again
     ("dropped", [1, 2, 3]), ("lost", [1, 2, 3]),  # nobody knows: it was not, as it turns out
--- a/tests/node/test_watch.py
+++ b/tests/node/test_watch.py
@@ -1,6 +1,5 @@
 """Following discovery against a stand-in of it."""
 
-import threading
 import time
 
 import pytest
@@ -8,29 +7,10 @@
 from rainpick import interface as api
 from rainpick.http1.server import Answer
 from rainpick.node import watch as watch_module
-from rainpick.node.watch import Watch
-from tests.node.platform import NAMES, Discovery, entry
+from tests.node.platform import Discovery, entry, following, states
 from tests.waiting import until
 
 
-@pytest.fixture
-def discovery():
-    made = Discovery(entry(1), entry(2))
-    yield made
-    made.close()
-
-
-def following(discovery):
-    found = []
-    watch = Watch(discovery.address, NAMES, found.append)
-    threading.Thread(target=watch.run, daemon=True).start()
-    return watch, found
-
-
-def states(found):
-    return [{one.address: one.state for one in news.servers} for news in found]
-
-
 def test_the_whole_list_then_changes(discovery):
     _, found = following(discovery)
     until(lambda: found, "the list")
