Tables are told by their deadlines, and only a short span is written ahead

Cause: the channel is first in, first out, and lay() wrote binds and withdrawals as they came until the queue was full: 12 to 17 s of lines ahead of whatever was due first, and a head more for each wave of drains (balance.lay, put and bind, LONG_QUEUE). Change: rainpick/decisions/send_queue.py counts what is still in the channel, by the newest answered message; no more is written ahead than leaves until the next step and is on its way. In a takeover a table goes as a whole, earliest deadline first: drained lines off, then its binds. Ramp steps are one message a table. A withdrawal nobody is known to use is not said: it reached all who had just joined (found by the reproduction, 2,366 lines). No levels where none is obeyed and no proxy tries again by default.

--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -19,6 +19,7 @@
 from zlib import crc32
 
 from rainpick import interface as api
+from rainpick.decisions.send_queue import Claim, SendQueue
 from rainpick.interface import DRAINING, GONE, READY
 
 TICK_US = 2_000_000  # the design's tick
@@ -34,7 +35,10 @@
 
 ROOM = 0.5  # ramp steps leave this part of the channel's queue to withdrawals, binds half of that
 QUEUE = 0.5  # what binds and ramp steps fill lasts for this part of the grace at most
-LONG, LONG_US, LONG_QUEUE = 0.8, 1.25 * TICK_US, 0.75  # binds: of a grace beyond that; of the queue
+AHEAD_BEATS, AHEAD_TRANSITS = 1.5, 2  # the channel's pace over these is written ahead: a step may be late
+SPAN_HEADS = 2  # or so many heads for each proxy of the largest table, if that is more
+WAIT_PART = 0.8  # of the grace a withdrawal leaves proxies to their binds, if many wait for theirs
+DEADLINES = 8  # parts of the grace in which deadlines count as the same: the busiest proxies go first
 BURST = 0.4  # of the messages that a proxy may be written, this part may go out at once
 
 DEEP_LOAD = 2.7  # cold servers get less from this part of the fall multiple on, as middle time in SLO times
@@ -103,7 +107,9 @@
         self.tables, self.part, self.warm = [], 0.0, True  # that hold it; its percentage; if it is not cold
         self.shut, self.told = False, {}  # as proxies were told: if withdrawn; its weight by table
         self.gone_ticks = 0  # how long it has been gone
+        self.drained_us = 0  # when the list first told that it drains or is gone
         self.doubted = False  # gone by a list that may be wrong, never seen to drain
+        self.late = False  # its withdrawal did not go out at once
         self.fresh()
 
     def fresh(self):
@@ -168,12 +174,18 @@
         self.servers, self.proxies, self.slices, self.far = {}, {}, {}, {}
         self.past = {}  # servers forgotten that proxies were told to shut out, the newest last
         self.tables, self.loose, self.due = [], Table(None), []
+        self.takeover = False  # more proxies wait to be bound than can be at once
+        self.ramping, self.ramp_due = [], False  # tables that are to be told new weights in this tick
         self.mark, self.next_tick, self.next_beat = 0, self.now, self.now
         self.burst = max(1.0, BURST * (self.get("proxies.pushes_allowed", 0) - 1))
-        self.waiting, self.written = 0, []  # lines that no proxy has answered; what is written in this step
+        self.written = []  # what is written in this step: proxies and lines
         # Withdrawals wait behind all that was written before: the queue may last for a part of the grace.
-        self.pending = self.get("proxies.pending_max", 1e9)
-        self.grace_lines = self.get("proxies.lines_per_s", 1e9) * self.get("rules.drain_grace_us", 1e9) / 1e6
+        self.pending, pace = self.get("proxies.pending_max", 1e9), self.get("proxies.lines_per_s", 1e9)
+        self.grace_us = self.get("rules.drain_grace_us", 1e9)
+        self.grace_lines = pace * self.grace_us / 1e6
+        # Written ahead: what leaves the channel until the next step, and what is on its way or not answered.
+        span_us = AHEAD_BEATS * BEAT_US + AHEAD_TRANSITS * self.get("proxies.late_us", 0)
+        self.queue = SendQueue(self.pending, span_us * pace / 1e6)
         self.head = self.get("proxies.head", 0) + 1  # lines of a message beside its own, its mark too
         self.period_us = self.bucket_us = self.ease_us = self.get("proxies.report_every_us", TICK_US)
         self.expected, self.directors = self.get("proxies.proxy_count", 0), self.get("directors", 1)
@@ -205,6 +217,8 @@
                 held.fresh()
             elif entry.state == READY and held.state == DRAINING:
                 held.back_us = self.now
+            if entry.state == DRAINING and held.state != DRAINING:
+                held.drained_us = self.now
             held.entry, held.state, held.doubted = entry, entry.state, False
         present = {entry.address for entry in event.servers}
         for address in self.servers.keys() - present if event.kind != api.DELTA else ():
@@ -222,6 +236,7 @@
         if held.state == READY and self.get("rules.gone_does_not_bind", False):
             held.state, held.drops = MISSING, Ring(3)
         elif held.state != MISSING:
+            held.drained_us = held.drained_us if held.state == DRAINING else self.now
             held.state = GONE
 
     def timer(self, event):
@@ -232,7 +247,7 @@
         self.left(event)
         if before:  # nobody saw it leave, if it did: what it was written may wait in the channel yet
             proxy.unread, proxy.tokens, proxy.filled_us = before.unread, before.tokens, before.filled_us
-            self.waiting += sum(lines for _, lines in proxy.unread)
+            self.queue.restore(sum(lines for _, lines in proxy.unread))
         proxy.place = self.loose if event.fresh or not self.tables else self.home(proxy).loose
         self.proxies[event.proxy] = proxy.place.proxies[event.proxy] = proxy
         self.urgent = True
@@ -240,7 +255,7 @@
     def left(self, event):
         proxy = self.proxies.pop(event.proxy, None)
         if proxy:
-            self.waiting -= sum(lines for _, lines in proxy.unread)
+            self.queue.forget(sum(lines for _, lines in proxy.unread))
             proxy.place.proxies.pop(event.proxy)
 
     def unbound(self):
@@ -254,7 +269,7 @@
     def applied(self, event):
         proxy = self.proxies.get(event.proxy)
         while proxy and any(mark == event.number for mark, _ in proxy.unread):
-            self.waiting -= proxy.unread.popleft()[1]
+            self.queue.answer(*proxy.unread.popleft())
 
     def repeated(self, event):
         """If it was carried out its lines wait twice, and each proxy it reached has one message less left."""
@@ -262,7 +277,8 @@
             lines = next((lines for mark, lines in proxy.unread if mark == event.number), 0)
             if lines:
                 proxy.unread.appendleft((event.number, lines))
-                self.waiting, proxy.tokens = self.waiting + lines, proxy.tokens - 1
+                self.queue.repeat(lines)
+                proxy.tokens -= 1
 
     def met(self, event):
         held = self.servers.get(event.server)
@@ -473,6 +489,8 @@
         # What joined lately has hardly been reported on: a limit from that would shut out nearly all.
         since_us = self.now - (RING + RECENT) * self.bucket_us
         known = sum(proxy.rate for proxy in self.proxies.values() if proxy.joined_us <= since_us)
+        if kind == "silent" and self.get("proxies.default_retry", None) == api.NO_RETRY:
+            return {}  # nothing to say: levels are not obeyed, and no proxy tries again by itself
         if kind == "silent" or self.limit is None and not (pressed and known):
             return dict.fromkeys(self.routes, full)
         if self.limit is None:
@@ -604,14 +622,22 @@
     def draw(self, held, number):
         return crc32(b"%d %s" % (number, repr(held.entry.address).encode()))
 
-    def put(self, orders, tables, lines, least, keep):
-        """Give orders of so many lines for some tables if the queue and the proxies' allowance have room."""
-        cost = sum(len(table.proxies) * (lines + (0 if table.lines else self.head)) for table in tables)
+    def cost(self, tables, lines):
+        """Lines that so many for each proxy of some tables take, heads included."""
+        return sum(len(table.proxies) * (lines + (0 if table.lines else self.head)) for table in tables)
+
+    def allowed(self, tables, claim):
+        """Whether the proxies of these tables may be written a message more."""
         fresh = [proxy for table in tables if not table.lines for proxy in table.proxies.values()]
-        if cost > self.spare - keep or any(
-                self.tokens(proxy) < min(least, self.burst) for proxy in fresh):
+        return all(self.tokens(proxy) >= min(claim.messages, self.burst) for proxy in fresh)
+
+    def put(self, orders, tables, lines, claim):
+        """Give orders of so many lines for some tables if the queue and the proxies' allowance have room."""
+        cost = self.cost(tables, lines)
+        if not self.queue.fits(cost, claim) or not self.allowed(tables, claim):
             return False
-        self.spare, self.orders = self.spare - cost, self.orders + orders
+        self.queue.plan(cost)
+        self.orders += orders
         for table in tables:
             table.lines += lines if table.proxies else 0
         return True
@@ -619,14 +645,11 @@
     def lay(self):
         """Write what changed: withdrawals at once, ramp steps by the tick, binds as the queue allows."""
         room = min(self.pending, QUEUE * self.grace_lines)
-        keep, keep_bind = self.pending - ROOM * room, self.pending - (1 + ROOM) / 2 * room
-        # A grace with time enough lets binds go first: with all proxies on one director those that waited
-        # behind withdrawals were read after the grace that they came with. Then drains go table by table: who
-        # is to be bound soon would be written them as well.
-        long = LONG * self.grace_lines * (1 - LONG_US / self.get("rules.drain_grace_us", LONG_US))
-        keep_bind = min(keep_bind, self.pending - min(long, LONG_QUEUE * self.pending))
-        rush = long > (1 + ROOM) / 2 * room and self.unbound()
-        self.spare = self.pending - self.waiting
+        # First the rules: no table without a line, no cold server overloaded. Then what has a deadline.
+        urgent = Claim(1, 0, None)
+        drain, bind = Claim(1, 0, 1.0), Claim(1, self.pending - (1 + ROOM) / 2 * room, 1.0)
+        ejection, ramp = bind._replace(messages=2), Claim(3, self.pending - ROOM * room, ROOM)
+        self.queue.begin()
         warm = {held: None for held in self.servers.values() if self.warm(held)}
         for held in warm if all(held.eject_until for held in warm) else ():
             held.eject_until = 0  # the rest has left the list since: any line beats none
@@ -652,37 +675,19 @@
         self.spill()
         self.deal()
         self.uncrowd()
-        closing = [held for held in self.servers.values() if held.part <= 0 and not held.shut]
-        # Ejections, and what only a list that may be wrong calls gone, leave room and a message to drains:
-        # a queue that they had filled let drains in one by one, each with the heads of its messages.
-        reserved = set()
-        for held in sorted(closing, key=lambda held: (held.state == READY, held.doubted)):
-            gone, orders = held.state == GONE, [api.Withdraw(held.entry.address, True)]
-            orders += [api.SetLine(number, held.entry.address, 0.0) for number in held.told if gone]
-            own = [table for table in held.tables if table.number in held.told]
-            tables = own + self.reach(held)
-            least, spared = (2, keep_bind) if held.state == READY or held.doubted else (1, 0)
-            if not (rush and least == 1) and self.put(orders, tables, 1 + gone, least, spared):
-                held.shut, held.told = True, {} if gone else held.told
-            for table in own if least == 1 and not held.shut else ():
-                # Not all their proxies have a message now, and drains that share tables take it from each
-                # other: then each table lets go of it as it can.
-                if self.put([api.SetLine(table.number, held.entry.address, 0.0)], [table], 1, 1, 0):
-                    held.told.pop(table.number)
-                else:
-                    reserved.add(table)
+        reserved = self.withdraw(drain, ejection, bind)
         served, heated = ({number for held in group if not held.shut for number in held.told}
                           for group in (self.servers.values(), warm))
         for held in self.servers.values():
             bare = [table for table in held.tables if table.used and table.number not in served]
             if bare:
-                self.change(held, 1, 0, bare)
+                self.change(held, urgent, bare)
         for table in [table for table in self.tables if table.used]:
-            news = [route for route in self.routes if table.said.get(route) != self.let_in[route]]
+            news = [route for route in self.let_in if table.said.get(route) != self.let_in[route]]
             orders = [api.Admit(table.number, 1 << route, self.let_in[route], api.NO_RETRY) for route in news]
-            if news and self.put(orders, [table], len(news), 2, 0):
+            if news and self.put(orders, [table], len(news), urgent._replace(messages=2)):
                 table.said.update(self.let_in)
-        self.bind(keep_bind)  # before the rest, as what a loose proxy holds may have drained meanwhile
+        self.bind_waiting(drain, bind)  # before the rest, as what a loose proxy holds may have drained
         # Cold servers must not wait for the tick to get much less, nor, on a table alone, for warm ones.
         for held in [held for held in self.servers.values() if held.part]:
             # A table that nobody uses has nothing to be told of a server that is not to be readmitted.
@@ -696,13 +701,13 @@
             for table in dict.fromkeys((*sinks, *cool)):
                 alone = table in cool and table.number in served  # with cold lines
                 spare = table in reserved or held in warm and not alone
-                self.change(held, 1 + spare, keep_bind if spare else 0, [table])
+                self.change(held, ejection if spare else urgent, [table])
         # Ramp steps leave a message more: a zone that is back costs several before all its starts are known.
-        waits = bool(self.unbound())
-        self.due = [held for held in self.due if waits or not self.change(held, 3, keep)]
+        if not self.unbound():
+            self.ramp(ramp)
         self.seal()
 
-    def change(self, held, least, keep, needy=None):
+    def change(self, held, claim, needy=None):
         """Tell the tables of a server its weight, if that is news and there is room; the needy ones alone?
 
         Laying a table for proxies that just joined must not bring ramp steps forward in all others: those
@@ -727,25 +732,173 @@
             orders.append(api.Withdraw(address, False))
             stale = [table for table in held.tables if table.number in told or table in stale]
             stale += self.reach(held)
-        if not self.put(orders, stale, 1 + (held.shut and not gone), least, keep):
+        if not self.put(orders, stale, 1 + (held.shut and not gone), claim):
             return False
         held.shut, held.told = held.shut and gone, told
         return True
 
-    def bind(self, keep):
-        """Put loose proxies on their tables, the busiest first."""
-        sizes = defaultdict(int)
+    def ramp(self, claim):
+        """Tell tables of new weights, all of a table in one message; what is let back goes to all at once.
+
+        The tables take turns: where the queue has no room for all of them each gets its message in time.
+        """
+        self.due = [held for held in self.due if held.shut and held.part and not self.change(held, claim)]
+        stale = defaultdict(dict)
+        for held in self.servers.values():
+            gone = held.shut and held.state == GONE
+            for table in held.tables if gone or held.part and not held.shut else ():
+                weight = self.weight(held, table) if table.used and not gone else 0.0
+                if weight != held.told.get(table.number, 0.0):
+                    stale[table][held] = weight
+        if self.ramp_due:
+            self.ramp_due = False
+            self.ramping += [table for table in self.tables if table not in self.ramping]
+        waiting = []
+        for table in self.ramping:
+            news = stale.get(table, {})
+            orders = [api.SetLine(table.number, held.entry.address, weight) for held, weight in news.items()]
+            if not orders:
+                continue
+            if self.put(orders, [table], len(orders), claim):
+                for held, weight in news.items():
+                    held.told[table.number] = weight
+                    if not weight:
+                        del held.told[table.number]
+            else:
+                waiting.append(table)
+        self.ramping = waiting
+
+    def withdraw(self, drain, ejection, bind):
+        """Withdraw what drains or is ejected; the tables that still use one that drains.
+
+        Withdrawals go out at once while the span has room for all that they reach. Otherwise each table lets
+        go of its drained servers as its deadline comes, all in one message: who is to be bound soon need not
+        be told, and a message less is a head less for each of its proxies.
+        """
+        closing = [held for held in self.servers.values() if held.part <= 0 and not held.shut]
+        drains = [held for held in closing if held.state != READY and not held.doubted]
+        crowded = self.takeover = self.crowded()
+        behind = any(held.late and held.told for held in drains)
+        for held in drains:
+            old = self.now - held.drained_us > WAIT_PART * self.grace_us
+            waits = crowded and not old or behind and held.told
+            held.late = bool(waits) or not self.withdraw_all(held, drain)
+            behind = behind or held.late
+        self.clean_tables(drain)
+        # Ejections, and what only a list that may be wrong calls gone, leave room and a message to drains:
+        # a queue that they had filled let drains in one by one, each with the heads of its messages.
+        for held in sorted((held for held in closing if held.state == READY or held.doubted),
+                           key=lambda held: held.doubted):
+            self.withdraw_all(held, ejection)
+        return set(self.drained_lines())
+
+    def crowded(self):
+        """Whether binding those who wait takes more than half of what is written ahead."""
+        lines = self.head + 1 + len(self.routes) + LINES * self.get("proxies.default_size", 0)
+        return len(self.unbound()) * lines > ROOM * self.queue.span
+
+    def withdraw_all(self, held, claim):
+        """Withdraw a server from all who may use it, if there is room; whether it was done.
+
+        Where nobody is known to use it no order is given: it would be a message to each proxy that has joined
+        but is not known yet, and those are bound without it.
+        """
+        address, gone = held.entry.address, held.state == GONE
+        own = [table for table in held.tables if table.number in held.told]
+        orders = [api.Withdraw(address, True)]
+        orders += [api.SetLine(table.number, address, 0.0) for table in own if gone]
+        if held.late and not own and not any(place.proxies for place in self.reach(held)):
+            orders = []
+        if not self.put(orders, own + self.reach(held), 1 + gone, claim):
+            return False
+        held.shut, held.told = True, {} if gone else held.told
+        return True
+
+    def drained_lines(self):
+        """By table, the servers that drain and that its proxies still use."""
+        found = defaultdict(list)
         for held in self.servers.values():
-            for number in held.told:
-                sizes[number] += 1 + held.shut
-        for proxy in sorted(self.unbound(), key=lambda proxy: (-proxy.rate, proxy.number)):
-            table = self.home(proxy)
+            if held.part <= 0 and not held.shut and held.state != READY and not held.doubted:
+                for table in held.tables:
+                    if table.number in held.told:
+                        found[table].append(held)
+        return found
+
+    def deadline(self, drained, waiting):
+        """In which part of the grace a table is due: for what it uses, and for those who wait for it."""
+        since_us = [held.drained_us for held in drained] + [proxy.joined_us for proxy in waiting]
+        return int(min(since_us) // (self.grace_us / DEADLINES))
+
+    def clean_tables(self, claim):
+        """Without anybody who waits for a table: take drained servers off tables, the earliest first."""
+        if self.unbound():
+            return
+        drained = self.drained_lines()
+
+        def order(table):
+            return self.deadline(drained[table], ()), table.number
+
+        for table in sorted(drained, key=order):
+            self.clean(table, drained[table], claim)
+
+    def clean(self, table, drained, claim):
+        """Take servers off a table, all in one message for each proxy, if there is room."""
+        orders = [api.SetLine(table.number, held.entry.address, 0.0) for held in drained]
+        if not self.put(orders, [table], len(orders), claim):
+            return False
+        for held in drained:
+            held.told.pop(table.number)
+        return True
+
+    def bind_waiting(self, drain, bind):
+        """Put proxies on their tables, the earliest deadline first, then the busiest.
+
+        A table goes as a whole: what it uses that drains is taken off before proxies are bound to it.
+        """
+        waiting, drained = defaultdict(list), self.drained_lines()
+        for proxy in self.unbound():
+            waiting[self.home(proxy)].append(proxy)
+        if not waiting:
+            return
+        dead = self.dead_lines()
+        sizes = Counter(number for held in self.servers.values() for number in held.told)
+        sizes.update(number for held in self.servers.values() if held.shut for number in held.told)
+
+        def order(table):
+            busy = max((proxy.rate for proxy in waiting[table]), default=0.0)
+            return self.deadline(drained[table], waiting[table]), -busy, table.number
+
+        for table in sorted(waiting.keys() | drained.keys(), key=order):
+            if drained[table] and self.clean(table, drained[table], drain):
+                sizes[table.number] -= len(drained[table])
+            if dead[table] and self.saves(table, waiting[table]) and self.clean(table, dead[table], bind):
+                sizes[table.number] -= 2 * len(dead[table])
             lines = self.head + 1 + len(table.said) + sizes[table.number]
-            if self.spare - keep >= lines and self.tokens(proxy) >= 1:
-                self.orders.append(api.Bind(table.number, api.ALL_ROUTES, proxy.number))
-                self.written.append((proxy, lines + proxy.place.lines))
-                table.proxies[proxy.number] = proxy.place.proxies.pop(proxy.number)
-                self.spare, proxy.place = self.spare - lines, table
+            for proxy in sorted(waiting[table], key=lambda proxy: (-proxy.rate, proxy.number)):
+                if self.queue.fits(lines, bind) and self.tokens(proxy) >= 1:
+                    self.bind(proxy, table, lines)
+
+    def dead_lines(self):
+        """By table, the withdrawn servers that are gone or drain: a bind carries two lines for each."""
+        found = defaultdict(list)
+        for held in self.servers.values():
+            if held.shut and held.state in (GONE, DRAINING):
+                for table in held.tables:
+                    if table.number in held.told:
+                        found[table].append(held)
+        return found
+
+    def saves(self, table, waiting):
+        """Whether telling who is on a table of its dead lines costs less than binding others with them."""
+        # In a takeover more come than have joined so far.
+        return self.takeover or len(table.proxies) * (1 if table.lines else 1 + self.head) < 2 * len(waiting)
+
+    def bind(self, proxy, table, lines):
+        self.orders.append(api.Bind(table.number, api.ALL_ROUTES, proxy.number))
+        self.written.append((proxy, lines + proxy.place.lines))
+        table.proxies[proxy.number] = proxy.place.proxies.pop(proxy.number)
+        proxy.place = table
+        self.queue.plan(lines)
 
     def seal(self):
         """Mark what was written in this step; it waits in the channel until a proxy has answered."""
@@ -756,8 +909,9 @@
         self.orders += [api.Mark(self.mark, False)] if self.written else []
         for proxy, lines in self.written:
             proxy.unread.append((self.mark, lines))
-            self.waiting += lines
             proxy.tokens -= 1
+        if self.written:
+            self.queue.write(self.mark, sum(lines for _, lines in self.written))
         self.written = []
 
     def tick(self):
@@ -770,7 +924,7 @@
                 self.past[address] = True
         while len(self.past) > PAST:
             del self.past[next(iter(self.past))]
-        self.next_tick, self.due = self.now + TICK_US, list(self.servers.values())
+        self.next_tick, self.due, self.ramp_due = self.now + TICK_US, list(self.servers.values()), True
         for held in self.servers.values():
             if held.eject_until and self.now >= held.eject_until:
                 held.eject_until, held.back_us, held.heard_us, held.drops = 0, self.now, 0, Ring(3)
--- /dev/null
+++ b/rainpick/decisions/send_queue.py
@@ -0,0 +1,104 @@
+"""The send queue: how many lines wait in the paced channel, and what may be written now.
+
+The channel is first in, first out: a line that is written waits behind all that was written before,
+whatever is due first. So no more is written ahead than a short span of the channel's pace, and what is still
+unwritten can go in the order of its deadlines and be merged with what comes meanwhile.
+
+Two counts are kept. ``waiting`` is what no proxy has answered for, which errs to the full side: it bounds
+what the rule on the queue's length limits. ``backlog`` is what is still in the channel, by the newest message
+that any proxy has answered: proxies that fall silent do not hold it up.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Hashable
+from typing import NamedTuple
+
+MARKS_KEPT = 1_024  # marks whose place in the queue is remembered; answers are due long before so many more
+
+
+class Claim(NamedTuple):
+    """What kind of order may be written: the better its claim, the fuller the queue may be."""
+
+    messages: int  # that each proxy concerned must have left
+    reserve: float  # lines of the queue's limit that it leaves to others
+    share: float | None  # of the span that may be filled; None: the span does not count
+
+
+class Written(NamedTuple):
+    """The messages of one reply."""
+
+    start: int  # lines written before it
+    answered: int  # of its own lines
+
+
+class SendQueue:
+    """Counts of lines; ``limit``: how many may wait; ``span``: how many are written ahead."""
+
+    def __init__(self, limit: float, span: float):
+        self.limit, self.span = limit, min(limit, span)
+        self.waiting = 0  # lines that no proxy has answered for
+        self.total = self.left = 0  # lines written in all; those known to have left the channel
+        self.planned = 0  # lines of the reply that is being made
+        self.marks: dict[Hashable, Written] = {}  # by mark, the newest last
+
+    def backlog(self) -> int:
+        """Lines that have not left the channel, as far as answers tell."""
+        return min(self.waiting, self.total - self.left)
+
+    def spare(self) -> float:
+        """Lines that may be written until the limit."""
+        return self.limit - self.waiting - self.planned
+
+    def fits(self, lines: float, claim: Claim) -> bool:
+        """Whether so many lines may be written now.
+
+        >>> queue = SendQueue(limit=100, span=20)
+        >>> [queue.fits(lines, Claim(1, 0, share)) for lines, share in ((20, 1.0), (21, 1.0), (21, None))]
+        [True, True, True]
+        >>> queue.write("a mark", 5)
+        >>> [queue.fits(lines, Claim(1, 0, share)) for lines, share in ((15, 1.0), (16, 1.0), (16, None))]
+        [True, False, True]
+        """
+        if lines > self.spare() - claim.reserve:
+            return False
+        ahead = self.backlog() + self.planned
+        return claim.share is None or not ahead or lines <= claim.share * self.span - ahead
+
+    def plan(self, lines: float) -> None:
+        """So many lines are part of the reply."""
+        self.planned += lines
+
+    def begin(self) -> None:
+        """A new reply is made."""
+        self.planned = 0
+
+    def write(self, mark: Hashable, lines: int) -> None:
+        """The messages of a reply have been written."""
+        self.marks.pop(mark, None)
+        self.marks[mark] = Written(self.total, 0)
+        self.total += lines
+        self.waiting += lines
+        self.planned = 0
+        while len(self.marks) > MARKS_KEPT:
+            del self.marks[next(iter(self.marks))]
+
+    def repeat(self, lines: int) -> None:
+        """A message that may have been written is written again."""
+        self.total += lines
+        self.waiting += lines
+
+    def answer(self, mark: Hashable, lines: int) -> None:
+        """A proxy has applied a message: all that was written before it has left the channel."""
+        self.waiting -= lines
+        if written := self.marks.get(mark):
+            written = self.marks[mark] = Written(written.start, written.answered + lines)
+            self.left = min(self.total, max(self.left, written.start + written.answered))
+
+    def forget(self, lines: int) -> None:
+        """A proxy has left: what it was written is no longer counted."""
+        self.waiting -= lines
+
+    def restore(self, lines: int) -> None:
+        """A proxy has joined again, unseen: what it was written may still wait."""
+        self.waiting += lines
--- a/rainpick/record/inspect.py
+++ b/rainpick/record/inspect.py
@@ -185,7 +185,7 @@
     states = [STATES.get(held.state, "missing") for held in director.servers.values()]
     return {"proxies": len(director.proxies), "not_bound": len(director.unbound()),
             "servers": {state: states.count(state) for state in sorted(set(states))},
-            "tables": sum(one.used for one in director.tables), "lines_waiting": director.waiting,
+            "tables": sum(one.used for one in director.tables), "lines_waiting": director.queue.waiting,
             "queue": director.pending, "answering": director.answering, "load_in_slo_times": director.load,
             "warm_weight": director.warm_now, "most_warm_weight": director.warm_most,
             "left_to_the_cold": director.cold_part, "limit_of_calls": director.limit,
--- a/tests/director/test_engine.py
+++ b/tests/director/test_engine.py
@@ -55,13 +55,13 @@
     drive.join(1)
     drive.run(1)
     module = drive.engine.stepper.director
-    assert module.waiting > 0
+    assert module.queue.waiting > 0
     drive.listed(server(0, api.DRAINING))
     drive.run(1)
-    assert module.waiting > 8
+    assert module.queue.waiting > 8
     drive.engine.delivered(1, drive.writes[-1][1].number)
     drive.run(0.1)
-    assert module.waiting == 0
+    assert module.queue.waiting == 0
 
 
 def test_messages_to_a_proxy_stay_within_the_cap_whatever_is_ordered():
@@ -117,7 +117,7 @@
     assert {line.server: (line.weight, line.flags) for line in news.lines} == drive.held[1]
     drive.engine.delivered(2, number)
     drive.run(0.1)
-    assert drive.engine.stepper.director.waiting == 0
+    assert drive.engine.stepper.director.queue.waiting == 0
 
 
 ACTIONS = st.sampled_from(
@@ -161,7 +161,7 @@
     drive.run(30)
     assert all(drive.exact(number) for number in drive.held)
     assert drive.engine.channel.lines == 0 and not drive.engine.channel.waiting
-    assert drive.engine.stepper.director.waiting == 0
+    assert drive.engine.stepper.director.queue.waiting == 0
 
 
 class Scripted:
--- a/tests/takeover/day.py
+++ b/tests/takeover/day.py
@@ -58,7 +58,8 @@
             "proxies.proxy_count": self.proxies, "proxies.pending_max": self.pending,
             "proxies.lines_per_s": self.pace, "proxies.head": self.head, "proxies.hears_per_s": 75.0,
             "proxies.report_every_us": 500_000, "proxies.default_size": self.standing,
-            "proxies.admit": "silent", "proxies.pushes_allowed": 0, "proxies.ejects_after": 0,
+            "proxies.admit": "silent", "proxies.default_retry": 0, "proxies.pushes_allowed": 0,
+            "proxies.ejects_after": 0, "proxies.late_us": self.late_us,
             "rules.drain_grace_us": self.grace_us, "rules.warm_after_us": self.warm_after_us,
             "rules.start_capacity": 0.16, "rules.fall_multiple": 3.0, "round_us": 1_000,
         }
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -21,21 +21,21 @@
     """After a break in the news a proxy is told as joining anew, though its stream may never have ended: what
     it was written is in the channel yet. Counted as gone, as much again was ordered, over the queue's end."""
     director, _ = begun()
-    once = director.waiting
+    once = director.queue.waiting
     assert once > 0
     orders = director.step(100_000, [api.ProxyJoined(1, False, 5.0, 0)])
-    assert director.waiting == 2 * once
+    assert director.queue.waiting == 2 * once
     mark, = [order.number for order in orders if type(order) is api.Mark]
     director.step(400_000, [api.Applied(1, mark, 0)])
-    assert director.waiting == 0, "the answer to the later message is one to the earlier, too"
+    assert director.queue.waiting == 0, "the answer to the later message is one to the earlier, too"
 
 
 def test_lines_of_a_proxy_that_left_wait_no_more():
     director, mark = begun()
     director.step(100_000, [api.ProxyLeft(1)])
-    assert director.waiting == 0
+    assert director.queue.waiting == 0
     director.step(200_000, [api.Applied(1, mark, 0)])
-    assert director.waiting == 0
+    assert director.queue.waiting == 0
 
 
 def replaced(director, now, old, new):
