--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -19,7 +19,7 @@
 from zlib import crc32
 
 from rainpick import interface as api
-from rainpick.decisions.send_queue import Claim, SendQueue
+from rainpick.decisions.send_queue import ChannelState, Claim, SendQueue
 from rainpick.interface import DRAINING, GONE, READY
 
 TICK_US = 2_000_000  # the design's tick
@@ -768,6 +768,16 @@
                 waiting.append(table)
         self.ramping = waiting
 
+    def channel(self):
+        """How full the send queue is, and how near what is still due comes to its deadline."""
+        unbound, drained = self.unbound(), self.drained_lines()
+        since_us = [proxy.joined_us for proxy in unbound]
+        since_us += [held.drained_us for group in drained.values() for held in group]
+        used = (self.now - min(since_us, default=self.now)) / self.grace_us
+        queue = self.queue
+        return ChannelState(queue.waiting, queue.backlog(), queue.limit, queue.span, len(unbound),
+                            len(drained), used, self.takeover)
+
     def withdraw(self, drain, ejection, bind):
         """Withdraw what drains or is ejected; the tables that still use one that drains.
 
--- a/rainpick/decisions/send_queue.py
+++ b/rainpick/decisions/send_queue.py
@@ -25,6 +25,19 @@
     share: float | None  # of the span that may be filled; None: the span does not count
 
 
+class ChannelState(NamedTuple):
+    """How the channel stands, for logs and metrics."""
+
+    waiting: int  # lines that no proxy has answered for
+    backlog: int  # lines that have not left, as far as answers tell
+    limit: float  # lines that may wait
+    ahead: float  # lines that are written ahead at most
+    unbound: int  # proxies that wait for their table
+    drains: int  # tables that still use a server that drains
+    grace_used: float  # of the grace, by what is due first: a drained line or a proxy's table
+    takeover: bool  # more proxies wait to be bound than can be at once
+
+
 class Written(NamedTuple):
     """The messages of one reply."""
 
--- a/rainpick/node/codec.py
+++ b/rainpick/node/codec.py
@@ -272,6 +272,15 @@
                 return Call(self.mark, self.orders[:at])
         return self
 
+    def number(self) -> int | None:
+        """The mark's number, by which logs name the call."""
+        return None if self.mark is None else self.mark.number
+
+    def at(self, place: int) -> object:
+        """The order at a place of the line, the mark included."""
+        orders = self.orders if self.mark is None else (self.mark, *self.orders)
+        return orders[place]
+
     def many(self) -> int:
         return len(self.orders) + (self.mark is not None)
 
--- a/rainpick/node/core.py
+++ b/rainpick/node/core.py
@@ -7,6 +7,7 @@
 
 from rainpick import interface as api
 from rainpick.balance import Director
+from rainpick.decisions.send_queue import ChannelState
 from rainpick.director.stepper import Stepper
 from rainpick.node.belief import Listing, Roster
 from rainpick.node.codec import Call, Doubt, Members, Merged, call
@@ -16,6 +17,8 @@
 
 IDLE_S = 1.0
 STATUS_US = 10_000_000
+CHANNEL_US = 1_000_000  # how often the channel is looked at
+NEAR_GRACE = 0.8  # of the grace: what is still due then is told in the log
 
 
 def clock_maker() -> Callable[[], int]:
@@ -24,6 +27,11 @@
     return lambda: (time.monotonic_ns() + offset) // 1000
 
 
+def rounded(channel: ChannelState) -> dict:
+    """The channel's figures as the log writes them."""
+    return {name: round(value, 3) for name, value in channel._asdict().items()}
+
+
 class Core:
     """``send`` is handed the calls of each step."""
 
@@ -36,6 +44,8 @@
         self.stepper.events.append(self.listing.take(known, api.CACHED))
         self.stepped_us = self.unknown = 0
         self.status_us = self.clock() + STATUS_US
+        self.channel_us, self.channel = 0, None
+        self.most = {"waiting": 0, "backlog": 0, "unbound": 0, "grace_used": 0.0}  # since the last status
         self.status: Callable[[], dict] = dict
 
     def run(self) -> None:
@@ -58,14 +68,28 @@
         self.stepper.ring(now)
         if self.stepper.events:
             self.step(now)
+        if now >= self.channel_us:
+            self.channel_us = now + CHANNEL_US
+            self.observe(self.stepper.director.channel())
         if now >= self.status_us:
             self.status_us = now + STATUS_US
             log.info("status", **self.figures())
+            self.most = dict.fromkeys(self.most, 0)
         # Steps come a round apart at least, as in the simulator: what came since is one batch.
         pause_us = self.stepped_us + self.round_us - self.clock()
         if pause_us > 0:
             time.sleep(pause_us / 1e6)
 
+    def observe(self, channel: ChannelState) -> None:
+        """Log a takeover's begin and end, and what comes near its deadline; keep the peaks."""
+        before, self.channel = self.channel, channel
+        for name in self.most:
+            self.most[name] = max(self.most[name], getattr(channel, name))
+        if channel.takeover != (before is not None and before.takeover):
+            log.info("takeover begins" if channel.takeover else "takeover ends", **rounded(channel))
+        if channel.grace_used > NEAR_GRACE:
+            log.warning("drains or binds near their grace", **rounded(channel))
+
     def hear(self, item: object) -> None:
         kind = type(item)
         if kind is Members:
@@ -96,5 +120,7 @@
             "joined": len(self.roster.joined), "servers": len(listing.entries), "version": listing.version,
             "steps": stepper.steps, "events": stepper.heard, "orders": stepper.ordered,
             "shed": self.mailbox.shed, "unknown": self.unknown, "cpu_s": round(time.process_time(), 2),
+            "channel": rounded(self.stepper.director.channel()),
+            "channel_most": {name: round(most, 3) for name, most in self.most.items()},
             **self.status(),
         }
--- a/rainpick/node/relay.py
+++ b/rainpick/node/relay.py
@@ -143,7 +143,7 @@
             taken = self.send(part)
         except NoAnswerError as error:
             self.counts["again"] += 1
-            log.warning("call in doubt, sent again", why=str(error), orders=part.many())
+            log.warning("call in doubt, sent again", why=str(error), orders=part.many(), mark=part.number())
             self.close()
             if part.mark is not None:
                 self.tell(Doubt(part.mark.number))
@@ -158,7 +158,8 @@
             if len(part.orders) > 1:  # one of them must be at fault: the others are not to be lost with it
                 self.most = len(part.orders) // 2
                 return call
-            log.error("order left out", why=taken.code, orders=part.many())
+            log.error("order left out", why=taken.code, orders=part.many(), mark=part.number(),
+                      order=str(part.orders[:1]))
             taken = Taken(part.many())
             self.most = None
         self.refusals = 0
@@ -167,7 +168,8 @@
         self.counts["orders"] += taken.count
         if taken.count < part.many():
             self.counts["refused"] += 1
-            log.warning("order refused", place=taken.count, orders=part.many())
+            log.warning("order refused", place=taken.count, orders=part.many(), mark=part.number(),
+                        order=str(part.at(taken.count)))
         return call.rest(taken.count, part)
 
     def send(self, call: Call) -> Taken | NotTaken:
--- a/tests/node/test_core.py
+++ b/tests/node/test_core.py
@@ -5,6 +5,7 @@
 
 from rainpick import interface as api
 from rainpick.balance import Director
+from rainpick.decisions.send_queue import ChannelState
 from rainpick.node.codec import Call, Doubt, Merged, members
 from rainpick.node.configuration import read
 from rainpick.node.core import Core, clock_maker
@@ -19,11 +20,15 @@
 
     def __init__(self):
         self.heard, self.orders = [], []
+        self.state = ChannelState(0, 0, 100.0, 20.0, 0, 0, 0.0, False)
 
     def step(self, now, events):
         self.heard += events
         return self.orders
 
+    def channel(self):
+        return self.state
+
 
 def core(tmp_path):
     path = tmp_path / "config.json"
@@ -123,3 +128,16 @@
     made, module, _ = core(tmp_path)
     made.turn([Merged(7, (5, 6)), Doubt(7), Doubt(9)], [])
     assert module.heard[2:] == [api.Repeated(5), api.Repeated(6), api.Repeated(7), api.Repeated(9)]
+
+
+def test_a_takeover_and_what_nears_its_grace_are_logged(tmp_path, capsys):
+    made, module, _ = core(tmp_path)
+    busy = module.state._replace(takeover=True, unbound=7, backlog=19, grace_used=0.85)
+    for state in (module.state, busy, busy, module.state):
+        module.state, made.channel_us = state, 0
+        made.turn([], [])
+    lines = [json.loads(line) for line in capsys.readouterr().err.splitlines()]
+    assert [line["event"] for line in lines] == [
+        "takeover begins", "drains or binds near their grace", "drains or binds near their grace",
+        "takeover ends"]
+    assert lines[0]["unbound"] == 7 and made.figures()["channel_most"]["backlog"] == 19
