--- a/rainpick/node/relay.py
+++ b/rainpick/node/relay.py
@@ -241,7 +241,14 @@
                 continue
             reached = True
             self.newest += 1
-            threading.Thread(target=self.read, args=(sock, self.newest), name="news", daemon=True).start()
+            reader = threading.Thread(target=self.read, args=(sock, self.newest), name="news", daemon=True)
+            try:
+                reader.start()
+            except RuntimeError as error:  # no thread is to be had now: that must not end the director
+                sock.close()
+                log.warning("news not read, dialled again", why=str(error), stream=self.newest)
+                time.sleep(AGAIN_S)
+                continue
             with self.changed:
                 self.changed.wait_for(lambda place=place: self.place != place or self.ended == self.newest)
 
--- a/tests/node/test_relay.py
+++ b/tests/node/test_relay.py
@@ -190,3 +190,21 @@
         until(lambda: "Over 1" in turns(found), "the end of the old one")
         assert news.streams == 2
     other.close()
+
+
+def test_a_reader_of_news_that_cannot_be_started_is_tried_again(relay, monkeypatch):
+    """It ended the thread that dials, and the whole director with it."""
+    start, failures = threading.Thread.start, []
+
+    def refused(thread):
+        if thread.name == "news" and len(failures) < 3:
+            failures.append(thread)
+            raise RuntimeError("can't start new thread")
+        start(thread)
+
+    monkeypatch.setattr(threading.Thread, "start", refused)
+    given = []
+    subscription = Subscription(relay.address, NAMES, given.extend)
+    threading.Thread(target=subscription.run, daemon=True).start()
+    until(lambda: Begun in map(type, given), "the news")
+    assert len(failures) == 3
