A stepped wall clock makes no cold server warm, nor a warm one cold

Now each step is noticed and logged; a start is dated by the offset under which it is youngest and not in the future, and keeps its date while it is told the same. Not covered: a start stamped before a step that nobody saw, as the director itself began after it.

--- a/rainpick/node/belief.py
+++ b/rainpick/node/belief.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from rainpick import interface as api
+from rainpick.node.clock import Clock
 from rainpick.node.codec import Members, Merged, Ping
 
 MERGED_MOST = 64  # marks that stand for others; an answer is due long before so many more
@@ -14,7 +15,9 @@
 class Listing:
     """The server list as it was last told, so that a bad entry costs that entry alone."""
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock | None = None) -> None:
+        self.clock = clock or Clock()
+        self.starts: dict[str, tuple[int, int]] = {}  # by server, its start as told and on the clock
         self.entries: dict[str, api.Server] = {}
         self.gone: dict[str, None] = {}  # the newest last
         self.version: int | None = None
@@ -23,7 +26,7 @@
         """The event for an answer of discovery; ``kind`` for one that is not discovery's own word of now."""
         if kind is None:
             kind = api.FULL if news.full else api.DELTA
-        servers = news.servers
+        servers = tuple(map(self.dated, news.servers))
         if kind != api.DELTA:
             # An entry that can't be read says nothing of its server: what was known of it stands.
             servers += tuple(self.entries[one] for one in sorted(news.unread & self.entries.keys()))
@@ -36,12 +39,22 @@
         self.version = news.version
         return api.Listed(kind, servers, news.version)
 
+    def dated(self, entry: api.Server) -> api.Server:
+        """The entry with its start on the clock; what is told again keeps what it was at first."""
+        told, started = self.starts.get(entry.address, (None, 0))
+        if told != entry.started_us:
+            told, started = entry.started_us, self.clock.started(entry.started_us)
+            self.starts[entry.address] = told, started
+        return entry._replace(started_us=started)
+
     def forget(self, addresses: set[str]) -> None:
         for address in sorted(addresses):
             self.entries.pop(address, None)
             self.gone[address] = None
         while len(self.gone) > FORGOTTEN_MOST:
-            del self.gone[next(iter(self.gone))]
+            oldest = next(iter(self.gone))
+            del self.gone[oldest]
+            self.starts.pop(oldest, None)
 
     def knows(self, address: str) -> bool:
         return address in self.entries or address in self.gone
--- a/rainpick/node/core.py
+++ b/rainpick/node/core.py
@@ -10,6 +10,7 @@
 from rainpick.decisions.send_queue import ChannelState
 from rainpick.director.stepper import Stepper
 from rainpick.node.belief import Listing, Roster
+from rainpick.node.clock import Clock
 from rainpick.node.codec import Call, Doubt, Members, Merged, call
 from rainpick.node.configuration import Configuration
 from rainpick.node.log import log
@@ -21,12 +22,6 @@
 NEAR_GRACE = 0.8  # of the grace: what is still due then is told in the log
 
 
-def clock_maker() -> Callable[[], int]:
-    """Microseconds of Unix time, as servers' starts are told in; never backwards, whoever sets it."""
-    offset = time.time_ns() - time.monotonic_ns()
-    return lambda: (time.monotonic_ns() + offset) // 1000
-
-
 def rounded(channel: ChannelState) -> dict:
     """The channel's figures as the log writes them."""
     return {name: round(value, 3) for name, value in channel._asdict().items()}
@@ -37,10 +32,10 @@
 
     def __init__(self, told: Configuration, known: Members, mailbox: Mailbox, send: Callable[[Call], None],
                  module: Callable[[], Director] = Director):
-        self.mailbox, self.send, self.clock = mailbox, send, clock_maker()
+        self.mailbox, self.send, self.clock = mailbox, send, Clock()
         self.round_us = told.settings.get("round_us", 1_000)
         self.stepper = Stepper(told.seed, told.settings, module)
-        self.listing, self.roster = Listing(), Roster()
+        self.listing, self.roster = Listing(self.clock), Roster()
         self.stepper.events.append(self.listing.take(known, api.CACHED))
         self.stepped_us = self.unknown = 0
         self.status_us = self.clock() + STATUS_US
@@ -57,6 +52,8 @@
 
     def turn(self, news: list, reports: list) -> None:
         """Hear what came, and step if anything did or a timer is due."""
+        if (step_us := self.clock.look()) is not None:
+            log.warning("wall clock stepped", by_s=round(step_us / 1e6, 3), steps=self.clock.steps)
         for item in news:
             self.hear(item)
         for report in reports:
--- /dev/null
+++ b/tests/node/test_clock.py
@@ -0,0 +1,85 @@
+"""A wall clock that is stepped changes no span of time and no server's age for the better."""
+
+import pytest
+
+from rainpick import interface as api
+from rainpick.node.belief import Listing
+from rainpick.node.clock import OFFSETS_MOST, Clock
+from rainpick.node.codec import members
+from tests.node.platform import NAMES, entry
+
+SECOND, HOUR = 1_000_000, 3_600_000_000
+
+
+class Machine:
+    """A machine whose wall clock is set by the test."""
+
+    def __init__(self):
+        self.real, self.offset = 50 * SECOND, 1_700_000_000 * SECOND
+        self.clock = Clock(lambda: self.real + self.offset, lambda: self.real)
+
+    def wall(self):
+        return self.real + self.offset
+
+    def step(self, by):
+        self.offset += by
+        return self.clock.look()
+
+
+@pytest.mark.parametrize("by", [-HOUR, -SECOND, SECOND, HOUR])
+def test_the_clock_runs_on_when_the_wall_clock_is_stepped(by):
+    machine = Machine()
+    before = machine.clock()
+    assert machine.step(by) == by and machine.clock() == before
+    machine.real += SECOND
+    assert machine.clock.look() is None and machine.clock() == before + SECOND and machine.clock.steps == 1
+
+
+@pytest.mark.parametrize("by", [-HOUR, -SECOND, SECOND, HOUR])
+def test_a_start_has_its_true_age_whichever_side_of_the_step_it_was_stamped_on(by):
+    machine = Machine()
+    stamped, at = machine.wall(), machine.clock()
+    machine.real += SECOND // 2
+    machine.step(by)
+    machine.real += SECOND
+    assert at <= machine.clock.started(stamped) <= machine.clock(), "its age, or younger"
+    later, at = machine.wall(), machine.clock()
+    machine.real += 10 * SECOND
+    assert machine.clock.started(later) >= at, "a cold server does not pass for a warm one"
+
+
+def test_an_hour_forward_makes_no_warm_server_of_one_that_started_before_it():
+    machine = Machine()
+    stamped = machine.wall()
+    machine.real += SECOND
+    machine.step(HOUR)
+    assert machine.clock() - machine.clock.started(stamped) == SECOND
+
+
+def test_a_start_in_the_future_of_all_known_clocks_began_when_it_was_told():
+    machine = Machine()
+    assert machine.clock.started(machine.wall() + HOUR) == machine.clock()
+    assert machine.clock.started(0) == 0
+
+
+def test_remembered_steps_are_bounded():
+    machine = Machine()
+    for _ in range(3 * OFFSETS_MOST):
+        machine.step(HOUR)
+    assert len(machine.clock.offsets) == OFFSETS_MOST
+
+
+def test_what_was_told_of_a_start_stands_while_it_is_told_the_same():
+    """A list told again after a step must not make every warm server cold, nor undo a ramp."""
+    machine = Machine()
+    listing = Listing(machine.clock)
+    tell = [entry(1, started_ms=machine.wall() // 1000 - 60_000), entry(2, started_ms=machine.wall() // 1000)]
+    news = members({"generation": 1, "reset": True, "instances": tell}, NAMES)
+    first = listing.take(news, api.CACHED).servers
+    machine.real += 5 * SECOND
+    for by in (-SECOND // 2, -HOUR, HOUR, HOUR):
+        machine.step(by)
+        assert listing.take(news).servers == first
+    restarted = members({"generation": 2, "reset": False, "instances": [
+        entry(2, started_ms=machine.wall() // 1000)]}, NAMES)
+    assert listing.take(restarted).servers[0].started_us == pytest.approx(machine.clock(), abs=1_000)
--- a/tests/node/test_core.py
+++ b/tests/node/test_core.py
@@ -6,9 +6,10 @@
 from rainpick import interface as api
 from rainpick.balance import Director
 from rainpick.decisions.send_queue import ChannelState
+from rainpick.node.clock import Clock
 from rainpick.node.codec import Call, Doubt, Merged, members
 from rainpick.node.configuration import read
-from rainpick.node.core import Core, clock_maker
+from rainpick.node.core import Core
 from rainpick.node.mailbox import Mailbox
 from tests.node.platform import NAMES, SETTINGS, configuration, entry
 
@@ -69,7 +70,7 @@
 
 def test_the_clock_is_unix_time_and_never_runs_backwards(monkeypatch):
     """Servers' starts are told in Unix time; a machine whose clock is set must not undo a ramp."""
-    clock = clock_maker()
+    clock = Clock()
     assert abs(clock() - time.time_ns() // 1000) < 5_000_000
     before = clock()
     monkeypatch.setattr(time, "time_ns", lambda: 0)
@@ -96,7 +97,7 @@
     servers = [entry(number, **place) for number in range(9)]
     known = members({"generation": 0, "reset": True, "instances": servers}, told.names)
     made = Core(told, known, Mailbox(), sent.append, Director)
-    made.clock = lambda: now[0]
+    made.clock = Clock(lambda: now[0], lambda: now[0])
     made.step(now[0])
     for turn in range(12):
         now[0] += 300_000
