--- a/tests/node/test_node.py
+++ b/tests/node/test_node.py
@@ -17,12 +17,18 @@
 
 
 class Running:
-    def __init__(self, folder):
+    def __init__(self, folder, *command):
         self.discovery, self.relay = Discovery(*map(entry, range(6))), Relay()
         self.listen = "127.0.0.1", free_ports(1)[0]
         self.path, self.log = folder / "config.json", folder / "log"
         self.tell()
-        self.start()
+        self.start(*command)
+
+    def end(self):
+        self.process.kill()
+        self.process.wait()
+        self.discovery.close()
+        self.relay.close()
 
     def start(self, *command):
         with self.log.open("ab") as log:
@@ -60,10 +66,7 @@
 def node(tmp_path):
     made = Running(tmp_path)
     yield made
-    made.process.kill()
-    made.process.wait()
-    made.discovery.close()
-    made.relay.close()
+    made.end()
 
 
 def bound(relay):
@@ -284,3 +287,38 @@
     node.relay.attach(3)
     until(lambda: bound(node.relay) == [3] and len(node.relay.orders("share")) == 6, "its table")
     assert node.said("known list left out")
+
+
+STEPPED = """
+import os, time
+real, path = time.time_ns, os.environ["WALL_STEP"]
+time.time_ns = lambda: real() + int(open(path).read())
+from rainpick.node import __main__ as node
+node.main()
+"""
+
+
+@pytest.mark.parametrize("step_s", [-3600, 3600])
+def test_a_server_that_has_just_started_is_cold_when_the_wall_clock_is_stepped(
+        tmp_path, monkeypatch, step_s):
+    """Stamped before the step or after it, whichever way the clock went."""
+    shift = tmp_path / "step"
+    shift.write_text("0")
+    monkeypatch.setenv("WALL_STEP", str(shift))
+    node = Running(tmp_path, sys.executable, "-c", STEPPED)
+    try:
+        node.relay.attach(1)
+        until(lambda: bound(node.relay) == [1], "its table")
+        before_ms = time.time_ns() // 1_000_000
+        (tmp_path / "next").write_text(str(step_s * 10**9))
+        (tmp_path / "next").rename(shift)
+        until(lambda: node.said("wall clock stepped"), "the step")
+        after_ms = time.time_ns() // 1_000_000 + step_s * 1000
+        for number, started_ms in ((6, before_ms), (7, after_ms)):
+            node.discovery.change(entry(number, started_ms=started_ms))
+            name = f"s-{number:04x}"
+            weights = until(lambda name=name: [order["w"] for order in node.relay.orders("share")
+                                               if order["endpoint"] == name], "its line")
+            assert 0 < weights[0] < 0.9, (name, weights)
+    finally:
+        node.end()
