--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -19,7 +19,7 @@
 from zlib import crc32
 
 from rainpick import interface as api
-from rainpick.decisions.send_queue import ChannelState, Claim, SendQueue
+from rainpick.decisions.send_queue import ChannelState, Claim, Claims, SendQueue
 from rainpick.interface import DRAINING, GONE, READY
 
 TICK_US = 2_000_000  # the design's tick
@@ -163,7 +163,7 @@
             self.judge()
         if self.urgent:
             self.urgent = False
-            (self.keep_slices if self.get("proxies.slices", 0) else self.lay)()
+            (self.keep_slices if self.get("proxies.slices", 0) else self.update_tables)()
         return self.orders
 
     def get(self, name, default):
@@ -588,7 +588,7 @@
                 fair = usual * held.laid()
                 held.crowd = fair / brought if brought > fair else 1.0
 
-    def deal(self):
+    def assign_servers(self):
         """Put each server on its tables, those with the least of its type; fill up a table that got thin."""
         for proxy in self.unbound():
             self.home(proxy).used = True
@@ -631,7 +631,7 @@
         fresh = [proxy for table in tables if not table.lines for proxy in table.proxies.values()]
         return all(self.tokens(proxy) >= min(claim.messages, self.burst) for proxy in fresh)
 
-    def put(self, orders, tables, lines, claim):
+    def write_if_room(self, orders, tables, lines, claim):
         """Give orders of so many lines for some tables if the queue and the proxies' allowance have room."""
         cost = self.cost(tables, lines)
         if not self.queue.fits(cost, claim) or not self.allowed(tables, claim):
@@ -642,21 +642,48 @@
             table.lines += lines if table.proxies else 0
         return True
 
-    def lay(self):
-        """Write what changed: withdrawals at once, ramp steps by the tick, binds as the queue allows."""
+    def claims(self):
+        """What each kind of order may fill of the queue."""
         room = min(self.pending, QUEUE * self.grace_lines)
-        # First the rules: no table without a line, no cold server overloaded. Then what has a deadline.
-        urgent = Claim(1, 0, None)
-        drain, bind = Claim(1, 0, 1.0), Claim(1, self.pending - (1 + ROOM) / 2 * room, 1.0)
-        ejection, ramp = bind._replace(messages=2), Claim(3, self.pending - ROOM * room, ROOM)
+        bind = Claim(1, self.pending - (1 + ROOM) / 2 * room, 1.0)
+        return Claims(
+            rule=Claim(1, 0, None), drain=Claim(1, 0, 1.0), bind=bind, ejection=bind._replace(messages=2),
+            ramp=Claim(3, self.pending - ROOM * room, ROOM))
+
+    def update_tables(self):
+        """Write what changed: first what the rules need, then what has a deadline, then ramp steps."""
+        claims = self.claims()
         self.queue.begin()
-        warm = {held: None for held in self.servers.values() if self.warm(held)}
-        for held in warm if all(held.eject_until for held in warm) else ():
-            held.eject_until = 0  # the rest has left the list since: any line beats none
+        warm = self.warm_servers()
         if not self.tables:
             self.make_tables()
         if self.now >= self.next_tick:
             self.tick()
+        self.weigh(warm)
+        self.spill()
+        self.assign_servers()
+        self.uncrowd()
+        late = self.withdraw(claims)
+        served, heated = ({number for held in group if not held.shut for number in held.told}
+                          for group in (self.servers.values(), warm))
+        self.fill_bare_tables(served, claims.rule)
+        self.tell_levels(claims.rule._replace(messages=2))
+        self.bind_waiting(claims)  # before the rest, as what an unbound proxy holds may have drained
+        self.protect_cold_servers(warm, served, heated, late, claims)
+        # Ramp steps leave a message more: a zone that is back costs several before all its starts are known.
+        if not self.unbound():
+            self.ramp(claims.ramp)
+        self.finish_reply()
+
+    def warm_servers(self):
+        """The servers that are warm, in the list's order; if all of them are ejected they are let back."""
+        warm = {held: None for held in self.servers.values() if self.warm(held)}
+        for held in warm if all(held.eject_until for held in warm) else ():
+            held.eject_until = 0  # the rest has left the list since: any line beats none
+        return warm
+
+    def weigh(self, warm):
+        """Each server's percentage, and how much warm weight the fleet and each table have left."""
         # What is back but not yet told to proxies takes no calls: it neither spares the cold nor a zone.
         self.warm_now = sum(held.entry.weight for held in warm if not (held.eject_until or held.shut))
         self.warm_most = max(self.warm_now, self.warm_most, 1e-9)
@@ -672,23 +699,24 @@
             table.most = max(table.most, table.warm)
             mine = (table.warm or table.most) / table.most / FEW_WARM
             table.cold_part = min(1.0, mine / self.cold_part)  # the fleet's is in their percentage already
-        self.spill()
-        self.deal()
-        self.uncrowd()
-        reserved = self.withdraw(drain, ejection, bind)
-        served, heated = ({number for held in group if not held.shut for number in held.told}
-                          for group in (self.servers.values(), warm))
+
+    def fill_bare_tables(self, served, claim):
+        """Lay what a table that has no line should have."""
         for held in self.servers.values():
             bare = [table for table in held.tables if table.used and table.number not in served]
             if bare:
-                self.change(held, urgent, bare)
+                self.change(held, claim, bare)
+
+    def tell_levels(self, claim):
+        """Tell tables of new levels."""
         for table in [table for table in self.tables if table.used]:
             news = [route for route in self.let_in if table.said.get(route) != self.let_in[route]]
             orders = [api.Admit(table.number, 1 << route, self.let_in[route], api.NO_RETRY) for route in news]
-            if news and self.put(orders, [table], len(news), urgent._replace(messages=2)):
+            if news and self.write_if_room(orders, [table], len(news), claim):
                 table.said.update(self.let_in)
-        self.bind_waiting(drain, bind)  # before the rest, as what a loose proxy holds may have drained
-        # Cold servers must not wait for the tick to get much less, nor, on a table alone, for warm ones.
+
+    def protect_cold_servers(self, warm, served, heated, late, claims):
+        """Cold servers must not wait for the tick to get much less, nor, on a table alone, for warm ones."""
         for held in [held for held in self.servers.values() if held.part]:
             # A table that nobody uses has nothing to be told of a server that is not to be readmitted.
             cool = [table for table in held.tables if table.number not in heated
@@ -700,12 +728,8 @@
             # may warm lines for a table of cold ones: it waited 3 s, and then the other zone was lost.
             for table in dict.fromkeys((*sinks, *cool)):
                 alone = table in cool and table.number in served  # with cold lines
-                spare = table in reserved or held in warm and not alone
-                self.change(held, ejection if spare else urgent, [table])
-        # Ramp steps leave a message more: a zone that is back costs several before all its starts are known.
-        if not self.unbound():
-            self.ramp(ramp)
-        self.seal()
+                spare = table in late or held in warm and not alone
+                self.change(held, claims.ejection if spare else claims.rule, [table])
 
     def change(self, held, claim, needy=None):
         """Tell the tables of a server its weight, if that is news and there is room; the needy ones alone?
@@ -732,7 +756,7 @@
             orders.append(api.Withdraw(address, False))
             stale = [table for table in held.tables if table.number in told or table in stale]
             stale += self.reach(held)
-        if not self.put(orders, stale, 1 + (held.shut and not gone), claim):
+        if not self.write_if_room(orders, stale, 1 + (held.shut and not gone), claim):
             return False
         held.shut, held.told = held.shut and gone, told
         return True
@@ -759,7 +783,7 @@
             orders = [api.SetLine(table.number, held.entry.address, weight) for held, weight in news.items()]
             if not orders:
                 continue
-            if self.put(orders, [table], len(orders), claim):
+            if self.write_if_room(orders, [table], len(orders), claim):
                 for held, weight in news.items():
                     held.told[table.number] = weight
                     if not weight:
@@ -778,8 +802,8 @@
         return ChannelState(queue.waiting, queue.backlog(), queue.limit, queue.span, len(unbound),
                             len(drained), used, self.takeover)
 
-    def withdraw(self, drain, ejection, bind):
-        """Withdraw what drains or is ejected; the tables that still use one that drains.
+    def withdraw(self, claims):
+        """Withdraw what drains or is ejected; returns the tables that still use one that drains.
 
         Withdrawals go out at once while the span has room for all that they reach. Otherwise each table lets
         go of its drained servers as its deadline comes, all in one message: who is to be bound soon need not
@@ -792,14 +816,14 @@
         for held in drains:
             old = self.now - held.drained_us > WAIT_PART * self.grace_us
             waits = crowded and not old or behind and held.told
-            held.late = bool(waits) or not self.withdraw_all(held, drain)
+            held.late = bool(waits) or not self.withdraw_all(held, claims.drain)
             behind = behind or held.late
-        self.clean_tables(drain)
+        self.clean_tables(claims.drain)
         # Ejections, and what only a list that may be wrong calls gone, leave room and a message to drains:
         # a queue that they had filled let drains in one by one, each with the heads of its messages.
         for held in sorted((held for held in closing if held.state == READY or held.doubted),
                            key=lambda held: held.doubted):
-            self.withdraw_all(held, ejection)
+            self.withdraw_all(held, claims.ejection)
         return set(self.drained_lines())
 
     def crowded(self):
@@ -819,7 +843,7 @@
         orders += [api.SetLine(table.number, address, 0.0) for table in own if gone]
         if held.late and not own and not any(place.proxies for place in self.reach(held)):
             orders = []
-        if not self.put(orders, own + self.reach(held), 1 + gone, claim):
+        if not self.write_if_room(orders, own + self.reach(held), 1 + gone, claim):
             return False
         held.shut, held.told = True, {} if gone else held.told
         return True
@@ -854,13 +878,13 @@
     def clean(self, table, drained, claim):
         """Take servers off a table, all in one message for each proxy, if there is room."""
         orders = [api.SetLine(table.number, held.entry.address, 0.0) for held in drained]
-        if not self.put(orders, [table], len(orders), claim):
+        if not self.write_if_room(orders, [table], len(orders), claim):
             return False
         for held in drained:
             held.told.pop(table.number)
         return True
 
-    def bind_waiting(self, drain, bind):
+    def bind_waiting(self, claims):
         """Put proxies on their tables, the earliest deadline first, then the busiest.
 
         A table goes as a whole: what it uses that drains is taken off before proxies are bound to it.
@@ -879,13 +903,14 @@
             return self.deadline(drained[table], waiting[table]), -busy, table.number
 
         for table in sorted(waiting.keys() | drained.keys(), key=order):
-            if drained[table] and self.clean(table, drained[table], drain):
+            if drained[table] and self.clean(table, drained[table], claims.drain):
                 sizes[table.number] -= len(drained[table])
-            if dead[table] and self.saves(table, waiting[table]) and self.clean(table, dead[table], bind):
+            saves = dead[table] and self.saves(table, waiting[table])
+            if saves and self.clean(table, dead[table], claims.bind):
                 sizes[table.number] -= 2 * len(dead[table])
             lines = self.head + 1 + len(table.said) + sizes[table.number]
             for proxy in sorted(waiting[table], key=lambda proxy: (-proxy.rate, proxy.number)):
-                if self.queue.fits(lines, bind) and self.tokens(proxy) >= 1:
+                if self.queue.fits(lines, claims.bind) and self.tokens(proxy) >= 1:
                     self.bind(proxy, table, lines)
 
     def dead_lines(self):
@@ -910,7 +935,7 @@
         proxy.place = table
         self.queue.plan(lines)
 
-    def seal(self):
+    def finish_reply(self):
         """Mark what was written in this step; it waits in the channel until a proxy has answered."""
         for table in (*self.tables, self.loose, *(table.loose for table in self.tables)):
             lines, table.lines = table.lines and table.lines + self.head, 0
--- a/rainpick/decisions/send_queue.py
+++ b/rainpick/decisions/send_queue.py
@@ -25,6 +25,16 @@
     share: float | None  # of the span that may be filled; None: the span does not count
 
 
+class Claims(NamedTuple):
+    """By kind of order, the strongest first."""
+
+    rule: Claim  # no table without a line, no cold server overloaded
+    drain: Claim
+    bind: Claim
+    ejection: Claim
+    ramp: Claim
+
+
 class ChannelState(NamedTuple):
     """How the channel stands, for logs and metrics."""
 
