--- a/rainpick/node/relay.py
+++ b/rainpick/node/relay.py
@@ -143,7 +143,7 @@
             taken = self.send(part)
         except NoAnswerError as error:
             self.counts["again"] += 1
-            log.warning("call in doubt, sent again", why=str(error), orders=part.many())
+            log.warning("call in doubt, sent again", why=str(error), orders=part.many(), mark=part.number())
             self.close()
             if part.mark is not None:
                 self.tell(Doubt(part.mark.number))
@@ -158,7 +158,8 @@
             if len(part.orders) > 1:  # one of them must be at fault: the others are not to be lost with it
                 self.most = len(part.orders) // 2
                 return call
-            log.error("order left out", why=taken.code, orders=part.many())
+            log.error("order left out", why=taken.code, orders=part.many(), mark=part.number(),
+                      order=str(part.orders[:1]))
             taken = Taken(part.many())
             self.most = None
         self.refusals = 0
@@ -167,7 +168,8 @@
         self.counts["orders"] += taken.count
         if taken.count < part.many():
             self.counts["refused"] += 1
-            log.warning("order refused", place=taken.count, orders=part.many())
+            log.warning("order refused", place=taken.count, orders=part.many(), mark=part.number(),
+                        order=str(part.at(taken.count)))
         return call.rest(taken.count, part)
 
     def send(self, call: Call) -> Taken | NotTaken:
@@ -239,7 +241,14 @@
                 continue
             reached = True
             self.newest += 1
-            threading.Thread(target=self.read, args=(sock, self.newest), name="news", daemon=True).start()
+            reader = threading.Thread(target=self.read, args=(sock, self.newest), name="news", daemon=True)
+            try:
+                reader.start()
+            except RuntimeError as error:  # no thread is to be had now: that must not end the director
+                sock.close()
+                log.warning("news not read, dialled again", why=str(error), stream=self.newest)
+                time.sleep(AGAIN_S)
+                continue
             with self.changed:
                 self.changed.wait_for(lambda place=place: self.place != place or self.ended == self.newest)
 
