--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -899,7 +899,7 @@
         sizes.update(number for held in self.servers.values() if held.shut for number in held.told)
 
         def order(table):
-            busy = sum(proxy.rate for proxy in waiting[table])
+            busy = max((proxy.rate for proxy in waiting[table]), default=0.0)
             return self.deadline(drained[table], waiting[table]), -busy, table.number
 
         for table in sorted(waiting.keys() | drained.keys(), key=order):
