--- a/rainpick/balance.py
+++ b/rainpick/balance.py
@@ -36,7 +36,6 @@
 ROOM = 0.5  # ramp steps leave this part of the channel's queue to withdrawals, binds half of that
 QUEUE = 0.5  # what binds and ramp steps fill lasts for this part of the grace at most
 AHEAD_BEATS, AHEAD_TRANSITS = 1.5, 2  # the channel's pace over these is written ahead: a step may be late
-SPAN_HEADS = 2  # or so many heads for each proxy of the largest table, if that is more
 WAIT_PART = 0.8  # of the grace a withdrawal leaves proxies to their binds, if many wait for theirs
 DEADLINES = 8  # parts of the grace in which deadlines count as the same: the busiest proxies go first
 BURST = 0.4  # of the messages that a proxy may be written, this part may go out at once
