--- a/review/2/case.py
+++ b/review/2/case.py
@@ -28,6 +28,8 @@
             world.discovery.change(f"s-{number:04x}", lifecycle="Terminating")
         time.sleep(SPELL_S)
         world.relay.spell = ""
+        if trouble() and not world.relay.calls_in_spell:
+            raise RuntimeError("no call fell into the spell")
         time.sleep(5)
         world.drain(HOST, 6)
         time.sleep(14)
