--- a/review/2/case.py
+++ b/review/2/case.py
@@ -24,13 +24,15 @@
         time.sleep(10)
         if trouble():
             world.relay.spell = "reset-run"
-        for number in range(3):  # a step of a deploy: at most 18% of the fleet at a time
+        for number in range(2):  # a step of a deploy: with the host below 3 of 18, at most 18% at a time
             world.discovery.change(f"s-{number:04x}", lifecycle="Terminating")
         time.sleep(SPELL_S)
         world.relay.spell = ""
         if trouble() and not world.relay.calls_in_spell:
             raise RuntimeError("no call fell into the spell")
         time.sleep(5)
+        for number in range(2):
+            world.end_host(f"s-{number:04x}")
         world.drain(HOST, 6)
         time.sleep(14)
         world.summary(HOST, limit=world.domain["pendingMax"])
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -29,7 +29,9 @@
         world.relay.spell = ""
         if trouble() and not world.relay.calls_in_spell:
             raise RuntimeError("no call fell into the spell")
-        time.sleep(6)
+        time.sleep(4)
+        world.end_host("s-0000")
+        time.sleep(2)
         world.drain(HOST, 6)
         time.sleep(14)
         return world.summary(HOST)["sent_after_grace"] > 0
--- a/review/standins/deployments.py
+++ b/review/standins/deployments.py
@@ -126,7 +126,7 @@
         "head": 6.0,
         "hearsPerS": 75.0,
         "lateUs": 179000,
-        "lbMethod": "pair",
+        "lbMethod": "wheel",
         "linesPerS": 2500.0,
         "mutating": [False, True],
         "oneOwner": False,
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -15,6 +15,7 @@
 import socket
 import struct
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -25,10 +26,13 @@
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
 
+sys.setswitchinterval(0.0005)  # the relay has to answer within 50 ms beside many client threads
+
 ROOT = Path(__file__).resolve().parents[2]
 SLACK_S = 0.3  # PROTOCOL.md: the rules' time limits are longer by 300 ms on sockets
 RESET = struct.pack("ii", 1, 0)
 CALL_TIMEOUT_S = 1.0
+ANSWER_S = 0.05  # PROTOCOL.md: a call's answer arrives within 50 ms or never
 
 
 def deploy_line(name):
@@ -64,6 +68,10 @@
         pairs = " ".join(f"{name}={value}" for name, value in fields.items())
         with self.lock:
             self.file.write(f"{self.now():8.3f} {what} {pairs}\n")
+
+    def flush(self):
+        """Write what is buffered to the file."""
+        with self.lock:
             self.file.flush()
 
 
@@ -107,6 +115,7 @@
         call = sock.recv(100)
         time.sleep(0.02)
         self.served += 1
+        self.record.write("ran", host=self.name, call=call.decode())
         sock.sendall(b"done " + call)
 
 
@@ -186,11 +195,24 @@
         self.messages = deque()  # times at which messages to it were written
         self.sent = 0
         self.bound = 0  # binds applied
+        self.credit = {}  # by host, for picking evenly by weight
 
     def usable(self):
         """Return the hosts that the proxy may pick now."""
         return [host for host in list(self.lines) if host not in self.withdrawn]
 
+    def pick(self):
+        """Pick a host evenly by weight, as ``lbMethod`` wheel says; None if there is none."""
+        lines = self.lines
+        usable = [host for host in self.usable() if host in lines]
+        if not usable:
+            return None
+        for host in usable:
+            self.credit[host] = self.credit.get(host, 0.0) + lines[host]
+        host = max(usable, key=self.credit.__getitem__)
+        self.credit[host] -= sum(lines[name] for name in usable)
+        return host
+
     def apply(self, operations):
         """Apply one message."""
         for kind, *values in operations:
@@ -228,6 +250,7 @@
         self.idle_at, self.order, self.travelling = 0.0, count(), []
         self.news, self.spell, self.calls, self.calls_in_spell = [], "", 0, 0
         self.peak_waiting, self.peak_messages = 0.0, 0
+        self.rate, self.slowest_answer_s = 4.0, 0.0
         super().__init__()
         threading.Thread(target=self.deliver, daemon=True).start()
         threading.Thread(target=self.ping, daemon=True).start()
@@ -247,10 +270,14 @@
         if message["method"] == "subscribe":
             self.subscribe(sock, message["id"])
             return True
-        orders, spell = message["params"]["orders"], self.spell
+        orders, spell, began = message["params"]["orders"], self.spell, time.monotonic()
         taken = len(orders) if spell.endswith("not-run") else self.commit(orders)
         self.calls += 1
         self.calls_in_spell += bool(spell)
+        if not spell:
+            answer = {"jsonrpc": "2.0", "id": message["id"], "result": {"ok_count": taken}}
+            sock.sendall(json.dumps(answer).encode() + b"\n")
+            self.slowest_answer_s = max(self.slowest_answer_s, time.monotonic() - began)
         verbs = ",".join(sorted({order["verb"] for order in orders}))
         stamp = next((order["stamp"] for order in orders if order["verb"] == "mark"), "-")
         self.record.write(
@@ -262,9 +289,6 @@
             spell=spell or "none",
             waiting=round(self.waiting()),
         )
-        if not spell:
-            answer = {"jsonrpc": "2.0", "id": message["id"], "result": {"ok_count": taken}}
-            sock.sendall(json.dumps(answer).encode() + b"\n")
         return not spell.startswith("reset")
 
     # Orders
@@ -394,7 +418,7 @@
 
     def attach(self, proxy):
         """Return the fields of ``attach``."""
-        return {"node": proxy.number, "locality": proxy.zone, "w": 5.0, "cold": not proxy.bound}
+        return {"node": proxy.number, "locality": proxy.zone, "w": self.rate, "cold": not proxy.bound}
 
     def subscribe(self, sock, number):
         """Accept a subscription: what stands comes first."""
@@ -445,6 +469,7 @@
             self.hosts[name] = Host(name, self.zones[number % len(self.zones)], self.record)
         self.discovery = Discovery([self.entry(host) for host in self.hosts.values()], self.record)
         self.relay = Relay(self.domain, self.hosts, self.record, late_s)
+        self.relay.rate = calls_per_s
         self.proxies = [self.proxy(number) for number in range(proxies)]
         self.listen = free_address()
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
@@ -537,12 +562,12 @@
 
     def client(self, proxy):
         """Send calls through a proxy, one after another."""
-        time.sleep(0.01 * (proxy.number % 25))
+        time.sleep(proxy.number / len(self.proxies) / self.calls_per_s)
         while self.running:
-            usable = proxy.usable()
-            if usable:
-                self.call(proxy, usable[proxy.sent % len(usable)])
             proxy.sent += 1
+            host = proxy.pick()
+            if host is not None:
+                self.call(proxy, host)
             time.sleep(1 / self.calls_per_s)
 
     def call(self, proxy, name):
@@ -558,6 +583,8 @@
         outcome = "answered" if answer else "FAILED"
         self.record.write("client-call", proxy=proxy.number, call=proxy.sent, host=name, outcome=outcome)
         with self.tally_lock:
+            total, errors, _ = self.tally.get((proxy.zone, proxy.number), (0, 0, 0.0))
+            self.tally[proxy.zone, proxy.number] = total + 1, errors + (not answer), 0.0
             total, errors, time_s = self.tally.get((proxy.zone, name), (0, 0, 0.0))
             self.tally[proxy.zone, name] = (
                 total + 1,
@@ -578,24 +605,39 @@
             )
 
     def collector(self, zone):
-        """Forward the reports of a zone, one period late."""
+        """Forward a zone's reports, a period late, within the settings' lines a second, the oldest first."""
         period = self.domain["reportEveryUs"] / 1e6
+        share = int(self.domain["hearsPerS"] * period / len(self.zones))
+        waiting = []
         with contextlib.suppress(OSError), socket.create_connection(self.listen, 1) as sock:
             self.frame(sock, {"t": "telemetry", "locality": zone})
             while self.running:
                 time.sleep(period)
+                for report in waiting:
+                    self.frame(sock, report | {"interval": 1000 * period})
                 with self.tally_lock:
-                    rows = {key: self.tally.pop(key) for key in list(self.tally) if key[0] == zone}
-                for (_, name), (total, errors, time_s) in rows.items():
-                    report = {"t": "upstream_stats", "locality": zone, "endpoint": name, "total": total}
-                    report |= {"errors": errors, "interval": 1000 * period}
-                    answered = total - errors
-                    self.frame(sock, report | {"rtt": 1000 * time_s / answered if answered else 0})
+                    keys = [key for key in self.tally if key[0] == zone][:share]
+                    rows = {key: self.tally.pop(key) for key in keys}
+                waiting = [self.report(*key, *row) for key, row in rows.items()]
+
+    def report(self, zone, name, total, errors, time_s):
+        """Return the report on a host, or on the calls that came to a proxy (its name is a number)."""
+        if isinstance(name, int):
+            route = self.settings["grades"][0]["name"]
+            return {"t": "client_stats", "node": name, "route": route, "total": total, "errors": errors}
+        answered = total - errors
+        mean_ms = 1000 * time_s / answered if answered else 0
+        report = {"t": "upstream_stats", "locality": zone, "endpoint": name, "total": total}
+        return report | {"errors": errors, "rtt": mean_ms}
 
     def drain(self, name, drain_s):
         """Let a host drain: it completes what it holds for some seconds, then its process ends."""
         self.discovery.change(name, lifecycle="Terminating")
         time.sleep(drain_s)
+        self.end_host(name)
+
+    def end_host(self, name):
+        """End the process of a host that has drained."""
         self.hosts[name].stop()
         self.discovery.change(name, lifecycle="Gone")
 
@@ -611,16 +653,20 @@
             "calls_without_answer": self.lost_calls,
             "commit_calls_in_spell": self.relay.calls_in_spell,
             "most_lines_waiting": round(self.relay.peak_waiting),
+            "slowest_answer_ms": round(1000 * self.relay.slowest_answer_s),
             "most_messages_to_a_proxy": self.relay.peak_messages,
             "director_ended": self.process.poll() is not None,
         } | more
         self.record.write("summary", **figures)
         print(figures)
+        if self.relay.slowest_answer_s > ANSWER_S:
+            raise TimeoutError("the relay stand-in answered later than the pages allow")
         return figures
 
     def stop(self):
         """End all that was started."""
         self.running = False
+        self.record.flush()
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(signal.SIGTERM)
             with contextlib.suppress(subprocess.TimeoutExpired):
@@ -641,6 +687,12 @@
 
 def run_case(folder, case):
     """Run a case: exit with 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
+
+    def ended(*_):
+        raise TimeoutError("ended from outside")
+
+    signal.signal(signal.SIGTERM, ended)
+    signal.signal(signal.SIGINT, ended)
     try:
         broken = case(Path(folder))
     except Exception as error:  # noqa: BLE001 - whatever it is, the case could not run
