Send an unconfirmed call again only if the relay responds and the limits allow it

Cause: CommitClient repeated an unconfirmed call as fast as the connection could be opened. No repetition was held to a limit: the accounting came afterwards, and only for proxies that had not acknowledged yet. As all repetitions shared one nonce, the first acknowledgement made all copies count as delivered, so that nothing held back what followed.

Change: after an unconfirmed call the client sends empty calls, 20 ms apart, until the relay responds to one; they cost no line and no message. It then asks the decisions (`decisions/retransmission.py`), which allow the retransmission if the queue has room for its lines and the cap leaves a message to each proxy; that message is the one that the cap keeps in reserve. Each attempt has a nonce of its own, so that an acknowledgement says which attempts were carried out. Lines of an attempt that reached nobody expire once even a full channel must be empty. If the relay answers nothing but empty calls, the pauses double from 20 to 320 ms. Newer calls are merged among themselves meanwhile. The first of two merged calls has withdrawals of all calls, so its retransmission now counts all of them, and a merged call that is merged again no longer forgets the calls within it.

The event and the command are not in `rainpick.model`: each type there is declared in every record, and stored bytes stay as they are.

The test of the nonce of an unconfirmed call now allows the retransmission, as the decisions do, and lets the empty call be answered first; it expects the same. The test of the event loop expects the new event in place of four `Retransmitted`.

--- a/rainpick/decisions/director.py
+++ b/rainpick/decisions/director.py
@@ -10,7 +10,8 @@
 - ``locality``, ``table_assignment``, ``key_ranges``: assign servers to tables and key ranges;
 - ``admission``: limits the requests that proxies admit under congestion;
 - ``withdrawals``, ``binding``, ``weight_updates``, ``publisher``, ``send_queue``: determine what is published
-  and when.
+  and when;
+- ``retransmission``: determines when an unconfirmed call is sent again.
 """
 
 from __future__ import annotations
@@ -32,6 +33,7 @@
 from rainpick.decisions.overload import OverloadProtection
 from rainpick.decisions.proxy_membership import ProxyMembership
 from rainpick.decisions.publisher import Publisher
+from rainpick.decisions.retransmission import RetransmissionRequested, Retransmissions
 from rainpick.decisions.send_queue import ChannelState
 from rainpick.decisions.servers import ServerState
 from rainpick.decisions.settings import TICK_US, UPDATE_INTERVAL_US, read_settings
@@ -59,6 +61,7 @@
     withdrawals: Withdrawals
     binding: Binding
     weight_updates: WeightUpdates
+    retransmissions: Retransmissions
     endpoint_list: EndpointList
     proxy_membership: ProxyMembership
     key_ranges: KeyRanges
@@ -85,6 +88,7 @@
             self.load.has_new_reports = False
             self.outlier_detector.detect()
             self.update_due = True
+        self.retransmissions.publish()
         if self.update_due:
             self.update_due = False
             self.publish()
@@ -106,6 +110,7 @@
         self.withdrawals = Withdrawals(fleet, self.publisher)
         self.binding = Binding(fleet, self.assignment, self.withdrawals, self.publisher)
         self.weight_updates = WeightUpdates(fleet, self.assignment, self.publisher)
+        self.retransmissions = Retransmissions(fleet, self.publisher)
         self.endpoint_list = EndpointList(fleet)
         self.proxy_membership = ProxyMembership(fleet, self.assignment, self.publisher.queue)
         self.key_ranges = KeyRanges(fleet)
@@ -124,6 +129,7 @@
             model.ProxyJoined: self.proxy_joined,
             model.ProxyLeft: self.proxy_membership.left,
             model.Acknowledged: self.publisher.acknowledged,
+            RetransmissionRequested: self.retransmissions.requested,
             model.Retransmitted: self.retransmitted,
             model.ServerLoadReport: self.server_reported,
             model.RouteLoadReport: self.proxy_membership.reported,
@@ -153,7 +159,7 @@
         self.update_due = True
 
     def retransmitted(self, event: model.Retransmitted) -> None:
-        """Count the lines and messages of a reply that is sent again because it was not acknowledged."""
+        """Count the lines and messages of a reply that an earlier version of the program sent again."""
         self.publisher.retransmitted(event.nonce)
 
     def server_reported(self, event: model.ServerLoadReport) -> None:
--- a/rainpick/decisions/proxies.py
+++ b/rainpick/decisions/proxies.py
@@ -42,6 +42,25 @@
         self.message_tokens = previous.message_tokens
         self.tokens_filled_us = previous.tokens_filled_us
 
+    def insert_message(self, previous_nonce: int, message: SentMessage) -> None:
+        """Add a message that is sent right after the one with ``previous_nonce``, before any newer one.
+
+        If that message is no longer unacknowledged, neither is any older one: the message comes first.
+        """
+        position = 0
+        for index, sent in enumerate(self.unacknowledged, 1):
+            if sent.nonce == previous_nonce:
+                position = index
+        self.unacknowledged.insert(position, message)
+
+    def discard_message(self, nonce: int) -> int:
+        """Remove the unacknowledged message with this nonce; return its lines, 0 if there is none."""
+        for message in self.unacknowledged:
+            if message.nonce == nonce:
+                self.unacknowledged.remove(message)
+                return message.lines
+        return 0
+
     def unacknowledged_lines(self) -> int:
         """Return the number of lines in unacknowledged messages."""
         return sum(message.lines for message in self.unacknowledged)
--- a/rainpick/decisions/publisher.py
+++ b/rainpick/decisions/publisher.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 from rainpick.decisions.fleet import Fleet
 from rainpick.decisions.proxies import MessageLimit, ProxyGroup, ProxyState, SentMessage
@@ -24,6 +24,7 @@
 )
 
 NONCE_COUNT = 65536
+REPLIES_MAX = 64  # replies whose costs are kept for a retransmission; older ones have long been executed
 # The send window is the number of lines that the channel sends during WINDOW_UPDATE_INTERVALS update
 # intervals, since a step may be late, plus WINDOW_DELIVERY_DELAYS delivery delays, for lines in transit and
 # for lines that were delivered but are not acknowledged yet.
@@ -73,6 +74,7 @@
         self.nonce = 0
         self.commands: list[object] = []
         self.written: list[tuple[ProxyState, int]] = []  # proxies, and the number of lines sent to each
+        self.reply_costs: dict[int, dict[int, int]] = {}  # by nonce, the lines sent to each proxy by number
 
     # Events
 
@@ -84,10 +86,9 @@
             self.queue.acknowledge(message.nonce, message.lines)
 
     def retransmitted(self, nonce: int) -> None:
-        """Count the lines and messages of a reply (all commands of one step) that is sent again.
+        """Count the lines and messages of a reply a second time, for the event ``Retransmitted``.
 
-        The lines may then be in the channel twice. Each proxy that has not acknowledged its message of the
-        reply is sent another one.
+        Each proxy that has not acknowledged its message of the reply is sent another one.
         """
         for proxy in self.fleet.proxies.values():
             lines = next((sent.lines for sent in proxy.unacknowledged if sent.nonce == nonce), 0)
@@ -96,6 +97,32 @@
                 self.queue.retransmit(lines)
                 proxy.message_tokens -= 1
 
+    # Retransmissions
+
+    def retransmission_costs(self, nonces: Iterable[int]) -> dict[int, int]:
+        """Return the number of lines, by joined proxy, that sending these replies again takes."""
+        costs: dict[int, int] = {}
+        for nonce in nonces:
+            for number, lines in self.reply_costs.get(nonce, {}).items():
+                if number in self.fleet.proxies:
+                    costs[number] = costs.get(number, 0) + lines
+        return costs
+
+    def retransmit(self, previous_nonce: int, costs: Mapping[int, int]) -> int:
+        """Count a call that is sent again, as one message to each proxy; return its new nonce."""
+        nonce = self.next_nonce()
+        for number, lines in costs.items():
+            proxy = self.fleet.proxies[number]
+            proxy.insert_message(previous_nonce, SentMessage(nonce, lines))
+            proxy.message_tokens -= 1
+        self.queue.insert(previous_nonce, nonce, sum(costs.values()))
+        return nonce
+
+    def discard_message(self, number: int, nonce: int) -> None:
+        """Stop counting the lines of a message to a proxy unless the proxy has left or acknowledged it."""
+        if proxy := self.fleet.proxies.get(number):
+            self.queue.forget(proxy.discard_message(nonce))
+
     # The reply of the current step
 
     def begin(self) -> None:
@@ -164,12 +191,28 @@
             group.pending_lines = 0
             if lines:
                 self.written += [(proxy, lines + self.head_lines) for proxy in group.proxies.values()]
-        self.nonce = (self.nonce + 1) % NONCE_COUNT
+        nonce = self.next_nonce()
         if not self.written:
             return
-        self.commands.append(RequestAcknowledgement(self.nonce, False))
+        self.commands.append(RequestAcknowledgement(nonce, False))
         for proxy, lines in self.written:
-            proxy.unacknowledged.append(SentMessage(self.nonce, lines))
+            proxy.unacknowledged.append(SentMessage(nonce, lines))
             proxy.message_tokens -= 1
-        self.queue.write(self.nonce, sum(lines for _, lines in self.written))
+        self.queue.write(nonce, sum(lines for _, lines in self.written))
+        self.keep_costs(nonce)
         self.written = []
+
+    def next_nonce(self) -> int:
+        """Advance the nonce and return it."""
+        self.nonce = (self.nonce + 1) % NONCE_COUNT
+        return self.nonce
+
+    def keep_costs(self, nonce: int) -> None:
+        """Remember the cost of the written reply, and forget the oldest one."""
+        costs: dict[int, int] = {}
+        for proxy, lines in self.written:
+            costs[proxy.number] = costs.get(proxy.number, 0) + lines
+        self.reply_costs.pop(nonce, None)
+        self.reply_costs[nonce] = costs
+        while len(self.reply_costs) > REPLIES_MAX:
+            del self.reply_costs[next(iter(self.reply_costs))]
--- a/rainpick/decisions/send_queue.py
+++ b/rainpick/decisions/send_queue.py
@@ -117,8 +117,33 @@
         while len(self.replies) > REPLIES_MAX:
             del self.replies[next(iter(self.replies))]
 
+    def insert(self, previous: Hashable, nonce: Hashable, lines: int) -> None:
+        """Record that ``lines`` lines are sent again right after the reply ``previous``.
+
+        Newer replies are sent behind them: calls are sent in order, so none of these has left yet.
+
+        >>> queue = SendQueue(limit=100, window=100)
+        >>> queue.write("first", 5)
+        >>> queue.write("second", 7)
+        >>> queue.insert("first", "again", 4)
+        >>> queue.acknowledge("again", 4)
+        >>> queue.waiting, queue.backlog()
+        (12, 7)
+        """
+        names = list(self.replies)
+        position = names.index(previous) + 1 if previous in self.replies else len(names)
+        newer = names[position:]
+        start = self.replies[newer[0]].start if newer else self.total
+        replies = {name: self.replies[name] for name in names[:position]}
+        replies[nonce] = Reply(start, 0)
+        for name in newer:
+            replies[name] = self.replies[name]._replace(start=self.replies[name].start + lines)
+        self.replies = replies
+        self.total += lines
+        self.waiting += lines
+
     def retransmit(self, lines: int) -> None:
-        """Count the lines of a message a second time, since a retransmission may have written them twice."""
+        """Count the lines of a message a second time, for the event ``Retransmitted``."""
         self.total += lines
         self.waiting += lines
 
--- a/rainpick/director/stepper.py
+++ b/rainpick/director/stepper.py
@@ -8,6 +8,7 @@
 
 from rainpick import model
 from rainpick.decisions.director import Director
+from rainpick.decisions.retransmission import RetransmissionRequested, Retransmit
 
 Event = (
     model.Acknowledged
@@ -19,6 +20,7 @@
     | model.ProbeCompleted
     | model.ProxyJoined
     | model.ProxyLeft
+    | RetransmissionRequested
     | model.Retransmitted
     | model.RouteLoadReport
     | model.ServerLoadReport
@@ -32,6 +34,7 @@
     | model.LogMessage
     | model.ProbeServer
     | model.RequestAcknowledgement
+    | Retransmit
     | model.SendPeerMessage
     | model.SetAdmission
     | model.SetTimer
--- a/rainpick/model/events.py
+++ b/rainpick/model/events.py
@@ -84,7 +84,8 @@
 class Retransmitted(NamedTuple):
     """The commands with this nonce are sent again, since their first transmission was not answered.
 
-    Proxies may therefore receive them twice.
+    Proxies may therefore receive them twice. Only records of earlier versions contain this event; the live
+    director passes ``RetransmissionRequested`` of ``rainpick.decisions.retransmission`` instead.
     """
 
     nonce: int
--- a/rainpick/node/commit_calls.py
+++ b/rainpick/node/commit_calls.py
@@ -32,6 +32,12 @@
         """The number of commands on the wire, including the request for acknowledgement."""
         return len(self.commands) + (self.acknowledgement is not None)
 
+    def with_nonce(self, nonce: int) -> CommitCall:
+        """Return the call with another nonce; unchanged if it has no request for acknowledgement."""
+        if self.acknowledgement is None:
+            return self
+        return CommitCall(self.acknowledgement._replace(nonce=nonce), self.commands)
+
     def wire_command(self, position: int) -> TableCommand | model.RequestAcknowledgement:
         """Return the command at a position of the encoded call; the request for acknowledgement is first."""
         if self.acknowledgement is None:
@@ -83,8 +89,18 @@
 
 
 class UnconfirmedCall(NamedTuple):
-    """The call with this nonce got no valid response, may have been executed, and is sent again."""
+    """The call with this nonce got no valid response and may have been executed.
+
+    The relay responds again, and the call waits for a ``Retransmission``.
+    """
+
+    nonce: int
+
+
+class Retransmission(NamedTuple):
+    """The unconfirmed call with ``previous_nonce`` may be sent again, with ``nonce``."""
 
+    previous_nonce: int
     nonce: int
 
 
--- a/rainpick/node/commit_client.py
+++ b/rainpick/node/commit_client.py
@@ -1,8 +1,8 @@
 """Client that sends the decisions' commands to the relay, one call at a time.
 
-A call without a valid response is sent again. If the relay rejects a single command, that command is skipped.
-If the relay rejects a whole call, the call is sent again; after repeated rejections, the command that causes
-them is skipped.
+A call without a valid response is sent again once the relay responds to an empty call and the decisions allow
+the retransmission. If the relay rejects a single command, that command is skipped. If the relay rejects a
+whole call, the call is sent again; after repeated rejections, the command that causes them is skipped.
 """
 
 from __future__ import annotations
@@ -11,30 +11,49 @@
 import threading
 import time
 from collections.abc import Callable, Sequence
+from enum import Enum
 
-from rainpick.node.commit_calls import CommitCall, MergedNonces, UnconfirmedCall, merge_calls
+from rainpick.node.commit_calls import (
+    CommitCall,
+    MergedNonces,
+    Retransmission,
+    UnconfirmedCall,
+    merge_calls,
+)
 from rainpick.node.commit_connection import CommitConnection, UnconfirmedCallError
 from rainpick.node.commit_responses import BUSY, Accepted, Rejected
 from rainpick.node.configuration import SocketAddress
 from rainpick.node.log import log
 from rainpick.node.relay_socket import RECONNECT_PAUSE_S
 
-RETRY_PAUSE_S = 0.02  # pause before a rejected call is sent again
+RETRY_PAUSE_S = 0.02  # pause before a rejected call, or an empty call without a response, is sent again
+RETRY_PAUSE_LIMIT_S = 0.32  # the pause doubles up to this after each further call without a valid response
 KEEP_ALIVE_S = 1.0  # idle time after which an empty call is sent, so that the relay keeps the connection open
 REJECTION_LIMIT = 5  # non-BUSY rejections of a call before it is halved or, if it has one command, skipped
 
 KEEP_ALIVE_CALL = CommitCall(None, ())
 
 
+class RetryState(Enum):
+    """Whether the first waiting call is sent again, and what has to happen before that."""
+
+    NONE = "none"  # it may be sent now
+    UNCONFIRMED = "unconfirmed"  # it got no valid response, and neither has any empty call since
+    REQUESTED = "requested"  # the relay responds again; the decisions have yet to allow the retransmission
+
+
 class CommitClient:
     """Sends calls to the relay strictly in order.
 
     A call without a valid response may have been executed. It is sent again, as a whole, before any newer
-    call. This is safe because commands are idempotent: each sets a value.
+    call. This is safe because commands are idempotent: each sets a value. But each execution costs lines of
+    the paced channel and a message to each proxy. Therefore the client first sends empty calls, which cost
+    nothing, until the relay responds to one. If the unconfirmed call has a nonce, the client then passes an
+    ``UnconfirmedCall`` to ``notify`` and waits for the ``Retransmission`` with the nonce of the next attempt.
 
     Calls that are queued while another call is in progress or the relay is unreachable are merged, see
-    ``merge_calls``. If the calls have nonces, ``notify`` receives a ``MergedNonces`` for merged calls and an
-    ``UnconfirmedCall`` for each call that is sent again.
+    ``merge_calls``; an unconfirmed call is merged once it may be sent again. If the calls have nonces,
+    ``notify`` receives a ``MergedNonces`` for merged calls.
     """
 
     def __init__(
@@ -45,23 +64,27 @@
     ):
         self.address = address
         self.notify = notify
-        self.queue: queue.SimpleQueue[CommitCall | threading.Event] = queue.SimpleQueue()
+        self.queue: queue.SimpleQueue[CommitCall | Retransmission | threading.Event] = queue.SimpleQueue()
         self.waiting: list[CommitCall] = []  # calls taken from the queue and not completed, oldest first
         self.flush_requests: list[threading.Event] = []  # created by ``flush``, set when ``waiting`` is empty
         self.connection = CommitConnection(routes)
+        self.retry_state = RetryState.NONE
+        self.unconfirmed = 0  # consecutive calls without a valid response, empty calls excluded
         self.reachable = True  # whether the last attempt to connect succeeded
         self.rejections = 0  # rejections of the current part of a call, not counting BUSY
         self.part_limit: int | None = None  # maximum commands per part while an invalid command is located
-        # The keys appear in the log's ``status`` lines. "again" counts calls without a valid
-        # response, "dials" connections, "orders" accepted commands, "busy" rejections of whole calls and
-        # "refused" rejections of single commands.
-        self.counts = {"calls": 0, "orders": 0, "again": 0, "busy": 0, "refused": 0, "dials": 0, "merged": 0}
+        # The keys appear in the log's ``status`` lines. "again" counts calls without a valid response,
+        # "probes" the empty calls after them, "dials" connections, "orders" accepted commands, "busy"
+        # rejections of whole calls and "refused" rejections of single commands.
+        self.counts = dict.fromkeys(
+            ("calls", "orders", "again", "busy", "refused", "dials", "merged", "probes"), 0
+        )
 
     # Methods for other threads
 
-    def send(self, call: CommitCall) -> None:
-        """Queue a call."""
-        self.queue.put(call)
+    def send(self, item: CommitCall | Retransmission) -> None:
+        """Queue a call, or allow an unconfirmed call to be sent again."""
+        self.queue.put(item)
 
     def flush(self, timeout_s: float) -> None:
         """Wait until all queued calls are completed: each command was accepted or skipped.
@@ -81,19 +104,28 @@
     def run(self) -> None:
         """Send queued calls forever, and an empty call whenever the client has been idle."""
         while True:
-            received = self.collect(0.0 if self.waiting else KEEP_ALIVE_S)
+            is_idle = not self.waiting or self.retry_state is RetryState.REQUESTED
+            received = self.collect(KEEP_ALIVE_S if is_idle else 0.0)
             if not self.waiting:
                 while self.flush_requests:
                     self.flush_requests.pop().set()
+            if not self.waiting or self.retry_state is RetryState.REQUESTED:
                 if not received and self.connection.sock is not None:
                     self.keep_alive()
             elif self.ensure_connected():
-                self.collect(0.0)
-                remaining = self.send_first_part(self.waiting[0])
-                self.waiting[:1] = [] if remaining is None else [remaining]
+                self.advance()
+
+    def advance(self) -> None:
+        """Make one attempt for the first waiting call on a usable connection."""
+        if self.retry_state is RetryState.UNCONFIRMED:
+            self.probe()
+            return
+        self.collect(0.0)
+        remaining = self.send_first_part(self.waiting[0])
+        self.waiting[:1] = [] if remaining is None else [remaining]
 
     def collect(self, timeout_s: float) -> bool:
-        """Move queued calls to ``waiting`` and merge the calls there; move flushes to ``flush_requests``.
+        """Move queued calls to ``waiting`` and merge the calls there; handle all other queued items.
 
         Waits up to ``timeout_s`` seconds for the first queued item; returns whether there was one.
         """
@@ -104,17 +136,33 @@
                 received += 1
                 if isinstance(item, CommitCall):
                     self.waiting.append(item)
+                elif isinstance(item, Retransmission):
+                    self.allow_retransmission(item)
                 else:
                     self.flush_requests.append(item)
         except queue.Empty:
             pass
-        if received and len(self.waiting) > 1:
-            self.counts["merged"] += len(self.waiting)
-            self.waiting, merged = merge_calls(self.waiting)
-            if merged is not None:
-                self.notify(merged)
+        if received:
+            self.merge_waiting()
         return received > 0
 
+    def merge_waiting(self) -> None:
+        """Merge the waiting calls, except an unconfirmed call that may not be sent again yet."""
+        first = 0 if self.retry_state is RetryState.NONE else 1
+        calls = self.waiting[first:]
+        if len(calls) < 2:
+            return
+        self.counts["merged"] += len(calls)
+        self.waiting[first:], merged = merge_calls(calls)
+        if merged is not None:
+            self.notify(merged)
+
+    def allow_retransmission(self, allowed: Retransmission) -> None:
+        """Give the unconfirmed call the nonce of its next attempt, which may be made now."""
+        if self.retry_state is RetryState.REQUESTED and self.waiting[0].nonce == allowed.previous_nonce:
+            self.waiting[0] = self.waiting[0].with_nonce(allowed.nonce)
+            self.retry_state = RetryState.NONE
+
     def ensure_connected(self) -> bool:
         """Connect to the relay if the connection is unusable; return whether it is usable now.
 
@@ -137,12 +185,27 @@
             log.info("relay reachable again")
         return True
 
-    def keep_alive(self) -> None:
-        """Send an empty call and ignore its result; close the connection if there is no valid response."""
+    def keep_alive(self) -> bool:
+        """Send an empty call; close the connection and return False if there is no valid response."""
         try:
             self.connection.exchange(KEEP_ALIVE_CALL)
         except UnconfirmedCallError:
             self.connection.close()
+            return False
+        return True
+
+    def probe(self) -> None:
+        """Send an empty call; if the relay responds, request the retransmission of the unconfirmed call."""
+        self.counts["probes"] += 1
+        if not self.keep_alive():
+            time.sleep(RETRY_PAUSE_S)
+            return
+        nonce = self.waiting[0].nonce
+        if nonce is None:
+            self.retry_state = RetryState.NONE
+            return
+        self.retry_state = RetryState.REQUESTED
+        self.notify(UnconfirmedCall(nonce))
 
     def send_first_part(self, call: CommitCall) -> CommitCall | None:
         """Send the call once, or its first part if it must be split.
@@ -155,6 +218,7 @@
         except UnconfirmedCallError as error:
             self.handle_unconfirmed(part, error)
             return call
+        self.unconfirmed = 0
         if isinstance(response, Accepted):
             accepted = response.commands
         elif self.handle_rejection(part, response):
@@ -165,12 +229,17 @@
         return call.remaining(accepted, part)
 
     def handle_unconfirmed(self, part: CommitCall, error: UnconfirmedCallError) -> None:
-        """Close the connection, and report the part's nonce, if any: its commands may be executed twice."""
+        """Close the connection, and hold the call back until the relay responds to an empty call.
+
+        After further calls without a valid response, pauses first.
+        """
         self.counts["again"] += 1
         log.warning("commit unconfirmed, sent again", reason=str(error), commands=part.size, nonce=part.nonce)
         self.connection.close()
-        if part.nonce is not None:
-            self.notify(UnconfirmedCall(part.nonce))
+        self.retry_state = RetryState.UNCONFIRMED
+        if self.unconfirmed:
+            time.sleep(min(RETRY_PAUSE_LIMIT_S, RETRY_PAUSE_S * 2 ** (self.unconfirmed - 1)))
+        self.unconfirmed += 1
 
     def handle_rejection(self, part: CommitCall, response: Rejected) -> bool:
         """Handle the rejection of a whole part; return True to send it again, False to skip it.
--- a/rainpick/node/event_loop.py
+++ b/rainpick/node/event_loop.py
@@ -8,10 +8,11 @@
 
 from rainpick import model
 from rainpick.decisions.director import Director
+from rainpick.decisions.retransmission import RetransmissionRequested, Retransmit
 from rainpick.director.stepper import Stepper
 from rainpick.node.channel_monitor import OBSERVATION_PERIOD_US, ChannelMonitor, rounded
 from rainpick.node.clock import Clock
-from rainpick.node.commit_calls import CommitCall, MergedNonces, commit_call
+from rainpick.node.commit_calls import CommitCall, MergedNonces, Retransmission, commit_call
 from rainpick.node.configuration import Configuration
 from rainpick.node.endpoint_discovery import DiscoveryResponse
 from rainpick.node.endpoint_list import EndpointList
@@ -24,12 +25,12 @@
 STATUS_PERIOD_US = 10_000_000
 DEFAULT_ROUND_US = 1_000
 STREAM_NOTIFICATIONS = StreamEvent, StreamOpened, StreamClosed
-# Commands that are not sent to the relay. Discovery is watched regardless of the subscription commands.
-LOCAL_COMMANDS = model.LogMessage, model.Subscribe, model.FetchEndpoints
+# Commands that are not part of a commit call. Discovery is watched regardless of the subscription commands.
+LOCAL_COMMANDS = model.LogMessage, Retransmit, model.Subscribe, model.FetchEndpoints
 
 
 class EventLoop:
-    """Passes events to the decisions in batches, and the call with each step's commands to ``send``.
+    """Passes events to the decisions in batches, and each step's call and retransmission to ``send``.
 
     ``director_factory`` creates the decisions; tests pass a double. ``process_status`` returns the fields of
     the log's status lines that describe the rest of the process.
@@ -40,7 +41,7 @@
         configuration: Configuration,
         cached_list: DiscoveryResponse,
         mailbox: Mailbox,
-        send: Callable[[CommitCall], None],
+        send: Callable[[CommitCall | Retransmission], None],
         director_factory: Callable[[], Director] = Director,
         process_status: Callable[[], dict[str, Any]] = dict,
     ):
@@ -98,7 +99,8 @@
         elif isinstance(notification, MergedNonces):
             self.membership.merge_nonces(notification)
         else:
-            events.extend(model.Retransmitted(nonce) for nonce in self.membership.nonces(notification.nonce))
+            replies = self.membership.replies(notification.nonce)
+            events.append(RetransmissionRequested(notification.nonce, replies))
 
     def add_reports(self, reports: list[LoadReport]) -> None:
         """Add load reports to the next step, except those of servers that are not in the endpoint list."""
@@ -115,10 +117,18 @@
         for command in commands:
             if isinstance(command, model.LogMessage):
                 log.info("decision", text=command.text)
+            elif isinstance(command, Retransmit):
+                self.retransmit(command)
         call = commit_call(command for command in commands if not isinstance(command, LOCAL_COMMANDS))
         if call is not None:
             self.send(call)
 
+    def retransmit(self, command: Retransmit) -> None:
+        """Let the unconfirmed call be sent again; its new nonce also acknowledges the previous one."""
+        self.membership.replace_nonce(command.previous_nonce, command.nonce)
+        log.info("commit retransmitted", previous_nonce=command.previous_nonce, nonce=command.nonce)
+        self.send(Retransmission(command.previous_nonce, command.nonce))
+
     def log_periodically(self, now: int) -> None:
         """Observe the channel and log the status, each when it is due."""
         if now >= self.channel_monitor.due_us:
--- a/rainpick/node/proxy_membership.py
+++ b/rainpick/node/proxy_membership.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from rainpick import model
 from rainpick.node.commit_calls import MergedNonces
@@ -58,6 +58,8 @@
         self.unconfirmed: set[int] = set()  # listed proxies, reported only if ``former_stream`` was dead
         self.listed: set[int] | None = None  # proxies listed on the current stream; None after its listing
         self.merged_nonces: dict[int, tuple[int, ...]] = {}  # earlier nonces that a nonce also acknowledges
+        # By the oldest nonce of merged calls, the newest one; see ``replies``.
+        self.split_nonces: dict[int, int] = {}
 
     def handle(self, notification: StreamOpened | StreamEvent | StreamClosed) -> list[ProxyEvent]:
         """Apply a notification and return the resulting events for the decisions."""
@@ -136,14 +138,34 @@
         """Return the earlier nonces that ``nonce`` also acknowledges, in order, followed by itself."""
         return *self.merged_nonces.get(nonce, ()), nonce
 
+    def replies(self, nonce: int) -> tuple[int, ...]:
+        """Return the nonces of all replies that may have commands in the call with this nonce.
+
+        If calls were merged into two, the first one has the nonce of the oldest call, but withdrawals of all.
+        """
+        return self.nonces(self.split_nonces.get(nonce, nonce))
+
     def merge_nonces(self, merged: MergedNonces) -> None:
         """Remember which earlier nonces an acknowledgement of ``merged.nonce`` covers.
 
         After a merge, proxies that only an earlier call concerns acknowledge the nonce of the merged call.
         """
-        self.merged_nonces.pop(merged.nonce, None)
-        self.merged_nonces[merged.nonce] = tuple(
-            nonce for earlier in merged.earlier for nonce in self.nonces(earlier)
-        )
-        while len(self.merged_nonces) > MERGED_NONCE_LIMIT:
-            del self.merged_nonces[next(iter(self.merged_nonces))]
+        earlier = tuple(nonce for earlier in merged.earlier for nonce in self.nonces(earlier))
+        # The newest of the calls may be a merged call itself.
+        remember(self.merged_nonces, merged.nonce, earlier + self.merged_nonces.get(merged.nonce, ()))
+        if merged.earlier:
+            remember(self.split_nonces, merged.earlier[0], merged.nonce)
+
+    def replace_nonce(self, previous: int, nonce: int) -> None:
+        """Remember that the call with the nonce ``previous`` is sent again with ``nonce``."""
+        remember(self.merged_nonces, nonce, self.nonces(previous))
+        if previous in self.split_nonces:
+            remember(self.split_nonces, nonce, self.split_nonces[previous])
+
+
+def remember(nonces: dict[int, Any], nonce: int, value: Any) -> None:
+    """Set the value of a nonce, which is then the newest; forget the oldest one beyond the limit."""
+    nonces.pop(nonce, None)
+    nonces[nonce] = value
+    while len(nonces) > MERGED_NONCE_LIMIT:
+        del nonces[next(iter(nonces))]
--- a/tests/compat/drawn_day.py
+++ b/tests/compat/drawn_day.py
@@ -13,6 +13,7 @@
 
 from rainpick import model
 from rainpick.decisions.director import Director
+from rainpick.decisions.retransmission import Retransmit
 
 ROUND_US = 250_000
 ROUNDS = 200
@@ -23,6 +24,7 @@
     model.ClearTable: "clear",
     model.SetWithdrawn: "withdraw",
     model.RequestAcknowledgement: "mark",
+    Retransmit: "repeat",
     model.BindProxy: "bind",
     model.SetAdmission: "admit",
     model.ProbeServer: "probe",
--- a/tests/compat/forms.py
+++ b/tests/compat/forms.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from rainpick import model
+from rainpick.decisions import retransmission
 from rainpick.director import reports
 from rainpick.http1 import messages as http
 from rainpick.mqtt import codec as mqtt
@@ -36,6 +37,7 @@
     "event: proxy left": model.ProxyLeft,
     "event: applied": model.Acknowledged,
     "event: repeated": model.Retransmitted,
+    "event: repeat asked": retransmission.RetransmissionRequested,
     "event: server report": model.ServerLoadReport,
     "event: proxy report": model.RouteLoadReport,
     "event: slice report": model.KeyRangeLoadReport,
@@ -46,6 +48,7 @@
     "order: clear": model.ClearTable,
     "order: withdraw": model.SetWithdrawn,
     "order: mark": model.RequestAcknowledgement,
+    "order: repeat": retransmission.Retransmit,
     "order: bind": model.BindProxy,
     "order: admit": model.SetAdmission,
     "order: probe": model.ProbeServer,
--- a/tests/compat/test_decisions.py
+++ b/tests/compat/test_decisions.py
@@ -81,7 +81,7 @@
 
 def test_every_kind_of_command_that_the_director_gives_is_digested():
     digested = {kind for days in EXPECTED.values() for day in days.values() for kind in day["commands"]}
-    assert digested == {"line", "withdraw", "mark", "bind", "admit", "timer", "subscribe"}
+    assert digested == {"line", "withdraw", "mark", "bind", "admit", "timer", "subscribe", "repeat"}
 
 
 @pytest.mark.parametrize("hash_seed", ["1", "77"])
--- a/tests/decisions/scenario_player.py
+++ b/tests/decisions/scenario_player.py
@@ -14,6 +14,7 @@
     MS: unresponsive P                                   a proxy acknowledges nothing from now on
     MS: report a ATTEMPTS FAILURES [MEAN_MS [INTERVAL_MS]]   a load report on a server
     MS: retransmitted NONCE                              the reply with this nonce is sent again
+    MS: unconfirmed NONCE REPLY...                       a call with commands of these replies got no answer
     MS: requests P ROUTE N                               a load report: requests to a proxy in the last second
     MS: probed a OUTCOME                                 a health check ends, with the number of its outcome
     MS: stall MS2                                        no step before MS2; delayed events are then delivered
@@ -32,6 +33,7 @@
 
 from rainpick import model
 from rainpick.decisions.director import Director
+from rainpick.decisions.retransmission import RetransmissionRequested, Retransmit
 from rainpick.operator_settings import translate_value
 
 # The names of the commands in ``expect`` and ``forbid``.
@@ -40,6 +42,7 @@
     model.ClearTable: "clear_table",
     model.SetWithdrawn: "set_withdrawn",
     model.RequestAcknowledgement: "request_acknowledgement",
+    Retransmit: "retransmit",
     model.BindProxy: "bind",
     model.SetAdmission: "set_admission",
     model.ProbeServer: "probe",
@@ -95,6 +98,7 @@
             "left": self.left,
             "report": self.server_report,
             "retransmitted": self.retransmitted,
+            "unconfirmed": self.unconfirmed,
             "requests": self.route_report,
             "probed": self.probe_completed,
         }
@@ -142,6 +146,9 @@
     def retransmitted(self, nonce):
         return model.Retransmitted(int(nonce))
 
+    def unconfirmed(self, nonce, *replies):
+        return RetransmissionRequested(int(nonce), tuple(map(int, replies)))
+
     def route_report(self, proxy, route, requests):
         return model.RouteLoadReport(int(proxy), int(route), int(requests), 0, 1_000_000)
 
--- /dev/null
+++ b/tests/node/paced_director.py
@@ -0,0 +1,46 @@
+"""A live director as a process, with a relay whose channel is paced in real time."""
+
+import json
+import os
+import subprocess
+import sys
+
+from rainpick.node.frame_codec import HEARTBEAT_REPLY
+from rainpick.simulated_peers.ports import free_ports
+from tests.node.paced_relay import PacedRelay
+from tests.node.platform_stubs import Peer, configuration_tree
+
+
+class PacedDirector:
+    """A director process with its relay and its address; ``settings`` are those of the configuration."""
+
+    def __init__(self, folder, name, fleet, discovery, settings):
+        self.relay = PacedRelay(fleet, settings["domain"])
+        listen = "127.0.0.1", free_ports(1)[0]
+        path, self.log = folder / f"{name}.json", folder / f"{name}.log"
+        known = {"generation": 0, "reset": True, "instances": discovery.versions[0]}
+        tree = configuration_tree(
+            listen, discovery.address, self.relay.address, known=known, settings=settings
+        )
+        path.write_text(json.dumps(tree | {"name": name}))
+        with self.log.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "rainpick.node"],
+                stderr=log,
+                env=os.environ | {"PROXY_CONFIG": str(path)},
+            )
+        self.listen = listen
+
+    def responds_to_heartbeat(self):
+        try:
+            peer = Peer(self.listen)
+        except OSError:
+            return False
+        reply = peer.send({"t": "hb"}).read(len(HEARTBEAT_REPLY))
+        peer.close()
+        return reply == HEARTBEAT_REPLY
+
+    def stop(self):
+        self.process.kill()
+        self.process.wait()
+        self.relay.close()
--- a/tests/node/paced_relay.py
+++ b/tests/node/paced_relay.py
@@ -4,7 +4,6 @@
 
 import contextlib
 import heapq
-import socket
 import threading
 import time
 from collections.abc import Callable, Iterable
@@ -109,21 +108,20 @@
             self.channel.join(proxy, state)
         self.attach(proxy, state.zone, proxy not in self.fleet.bound)
 
-    def handle(self, sock: socket.socket, message: dict[str, Any]) -> None:
-        if message["method"] == "commit":
-            commands = [parse_command(fields) for fields in message["params"]["orders"]]
-            with self.lock, self.fleet.lock:
-                for due_us, delivery in self.channel.write(now_us(), commands):
-                    heapq.heappush(self.deliveries, (due_us, next(self.delivery_numbers), delivery))
-                for command in commands:
-                    if (
-                        type(command) is model.SetWithdrawn
-                        or type(command) is model.SetWeight
-                        and not command.weight
-                    ):
-                        self.removed.add(command.server)
-                self.lock.notify()
-        super().handle(sock, message)
+    def execute(self, accepted: list[dict[str, Any]]) -> None:
+        commands = [parse_command(fields) for fields in accepted]
+        with self.lock, self.fleet.lock:
+            for due_us, delivery in self.channel.write(now_us(), commands):
+                heapq.heappush(self.deliveries, (due_us, next(self.delivery_numbers), delivery))
+            for command in commands:
+                if (
+                    type(command) is model.SetWithdrawn
+                    or type(command) is model.SetWeight
+                    and not command.weight
+                ):
+                    self.removed.add(command.server)
+            self.lock.notify()
+        super().execute(accepted)
 
     def discard_queue(self) -> None:
         """Discard all pending deliveries, as when the director has died."""
--- a/tests/node/stub_relay.py
+++ b/tests/node/stub_relay.py
@@ -100,9 +100,13 @@
             sock.shutdown(socket.SHUT_RDWR)
         elif response != "not read, silent":
             count = response if isinstance(response, int) else len(commands)
-            self.accepted += commands[:count]
+            self.execute(commands[:count])
             self.send_result(sock, number, count, response)
 
+    def execute(self, commands):
+        """Execute the accepted commands of a call."""
+        self.accepted += commands
+
     def send_result(self, sock, number, count, response):
         """Respond to a call of which ``count`` commands are accepted, in the way that ``response`` names."""
         line = json.dumps({"jsonrpc": "2.0", "id": number, "result": {"ok_count": count}}).encode() + b"\n"
--- a/tests/node/test_commit_client_races.py
+++ b/tests/node/test_commit_client_races.py
@@ -6,7 +6,7 @@
 
 from rainpick import model
 from rainpick.node import commit_client, commit_connection
-from rainpick.node.commit_calls import UnconfirmedCall, commit_call
+from rainpick.node.commit_calls import MergedNonces, Retransmission, UnconfirmedCall, commit_call
 from rainpick.node.commit_client import CommitClient
 from tests.node.platform_stubs import VOCABULARY
 from tests.node.stub_relay import StubRelay, cleared_tables
@@ -106,16 +106,89 @@
     assert cleared_tables(relay) == [1, 2, 3, 4, 6, 7, 8, 9]
 
 
-def test_the_nonce_of_an_unconfirmed_call_is_reported(relay):
-    """A call that is executed twice is queued twice in the channel, which the decisions must count."""
+def call_with_nonce(table, nonce):
+    """Build the call that clears a table and requests acknowledgement."""
+    return commit_call([model.ClearTable(table), model.RequestAcknowledgement(nonce, False)])
+
+
+def start_client_with_decisions(relay, allow_after=lambda nonce: True):
+    """Start a client; its retransmissions are allowed with ``nonce + 100``. Return its notifications, too."""
     notifications = []
-    relay.responses = ["no answer, silent", "busy"]
-    client = start_client(relay.address, notifications.append)
-    client.send(commit_call([model.ClearTable(1), model.RequestAcknowledgement(8, False)]))
+
+    def notify(notification):
+        notifications.append(notification)
+        if isinstance(notification, UnconfirmedCall) and allow_after(notification.nonce):
+            client.send(Retransmission(notification.nonce, notification.nonce + 100))
+
+    client = CommitClient(relay.address, list(VOCABULARY.routes), notify)
+    threading.Thread(target=client.run, daemon=True).start()
+    return client, notifications
+
+
+def test_the_nonce_of_an_unconfirmed_call_is_reported(relay):
+    """A call that is executed twice is queued twice in the channel, which the decisions must count.
+
+    The empty call after the unconfirmed one is accepted; the second attempt is rejected, the third accepted.
+    """
+    relay.responses = ["no answer, silent", "accept", "busy"]
+    client, notifications = start_client_with_decisions(relay)
+    client.send(call_with_nonce(1, 8))
     wait_until(lambda: cleared_tables(relay) == [1, 1] and client.counts["calls"] == 1, "the call, twice")
     assert notifications == [UnconfirmedCall(8)], "a rejected call was not executed"
 
 
+def test_each_attempt_for_an_unconfirmed_call_has_its_own_nonce(relay):
+    """Guards against an acknowledgement of an earlier attempt that counts for a later one as well."""
+    relay.responses = ["no answer, closed", "accept", "no answer, closed"]
+    client, notifications = start_client_with_decisions(relay)
+    client.send(call_with_nonce(1, 8))
+    wait_until(lambda: client.counts["calls"] == 1, "an attempt with an answer")
+    assert [command["stamp"] for command in relay.commands("mark")] == [8, 108, 208]
+    assert notifications == [UnconfirmedCall(8), UnconfirmedCall(108)]
+
+
+def test_an_unconfirmed_call_waits_until_the_decisions_allow_its_retransmission(relay):
+    """Guards against a retransmission that no limit allows, and against newer calls that overtake it."""
+    relay.responses = ["no answer, closed"]
+    client, notifications = start_client_with_decisions(relay, lambda nonce: False)
+    client.send(call_with_nonce(1, 8))
+    wait_until(lambda: notifications == [UnconfirmedCall(8)], "the request for a retransmission")
+    for table in (2, 3):
+        client.send(call_with_nonce(table, 7 + table))
+    wait_until(lambda: MergedNonces(10, (9,)) in notifications, "the newer calls, merged")
+    client.send(Retransmission(7, 107))  # of another call
+    wait_until(client.queue.empty, "the wrong permission")
+    assert cleared_tables(relay) == [1]
+    client.send(Retransmission(8, 108))
+    wait_until(lambda: cleared_tables(relay) == [1, 1, 2, 3], "all calls")
+    assert [command["stamp"] for command in relay.commands("mark")] == [8, 10]
+    assert notifications[-1] == MergedNonces(10, (108,))
+
+
+def test_no_command_is_sent_while_the_relay_answers_no_call(relay):
+    """Guards against repeating a call without a pause: each execution fills the channel further."""
+    relay.default_response = lambda commands: "no answer, closed"
+    client, notifications = start_client_with_decisions(relay)
+    begin_s = time.monotonic()
+    client.send(call_with_nonce(1, 8))
+    wait_until(lambda: client.counts["probes"] >= 10, "empty calls")
+    assert time.monotonic() - begin_s >= 9 * commit_client.RETRY_PAUSE_S
+    assert cleared_tables(relay) == [1] and notifications == []
+    relay.default_response = lambda commands: "accept"
+    wait_until(lambda: cleared_tables(relay) == [1, 1], "the retransmission")
+
+
+def test_retransmissions_that_are_not_answered_are_sent_with_growing_pauses(relay):
+    """Guards against repeating a call without a pause if the relay answers only empty calls."""
+    relay.default_response = lambda commands: "no answer, closed" if commands else "accept"
+    client, _ = start_client_with_decisions(relay)
+    begin_s = time.monotonic()
+    client.send(call_with_nonce(1, 8))
+    wait_until(lambda: len(cleared_tables(relay)) >= 6, "repetitions")
+    pauses_s = [commit_client.RETRY_PAUSE_S * 2**attempt for attempt in range(4)]
+    assert time.monotonic() - begin_s >= sum(pauses_s)
+
+
 def test_waiting_commands_are_bounded_while_the_relay_is_unreachable(relay):
     address = relay.address
     relay.close()
--- a/tests/node/test_event_loop.py
+++ b/tests/node/test_event_loop.py
@@ -5,13 +5,15 @@
 
 from rainpick import model
 from rainpick.decisions.director import Director
+from rainpick.decisions.retransmission import RetransmissionRequested, Retransmit
 from rainpick.decisions.send_queue import ChannelState
 from rainpick.node.clock import Clock
-from rainpick.node.commit_calls import CommitCall, MergedNonces, UnconfirmedCall
+from rainpick.node.commit_calls import CommitCall, MergedNonces, Retransmission, UnconfirmedCall
 from rainpick.node.configuration import read_configuration
 from rainpick.node.endpoint_discovery import parse_discovery_response
 from rainpick.node.event_loop import EventLoop
 from rainpick.node.mailbox import Mailbox
+from rainpick.node.proxy_membership import StreamEvent, StreamOpened
 from tests.node.platform_stubs import SETTINGS, VOCABULARY, configuration_tree, entry
 
 ADDRESS = ("127.0.0.1", 1)
@@ -175,13 +177,22 @@
     loop, decisions, _ = make_loop(tmp_path)
     loop.process_batch([MergedNonces(7, (5, 6)), UnconfirmedCall(7), UnconfirmedCall(9)], [])
     assert decisions.events[2:] == [
-        model.Retransmitted(5),
-        model.Retransmitted(6),
-        model.Retransmitted(7),
-        model.Retransmitted(9),
+        RetransmissionRequested(7, (5, 6, 7)),
+        RetransmissionRequested(9, (9,)),
     ]
 
 
+def test_an_allowed_retransmission_is_sent_and_its_nonce_acknowledges_the_previous_ones(tmp_path):
+    """Guards against lines that stay counted: the relay acknowledges only attempts that it executed."""
+    loop, decisions, sent = make_loop(tmp_path)
+    decisions.commands = [Retransmit(7, 30), model.ClearTable(1)]
+    loop.process_batch([MergedNonces(7, (5,)), UnconfirmedCall(7)], [])
+    assert sent == [Retransmission(7, 30), CommitCall(None, (model.ClearTable(1),))]
+    join, acknowledged = model.ProxyJoined(1, True, 1.0, 0), model.Acknowledged(1, 30, 0)
+    loop.process_batch([StreamOpened(1), StreamEvent(1, join), StreamEvent(1, acknowledged)], [])
+    assert decisions.events[-3:] == [model.Acknowledged(1, nonce, 0) for nonce in (5, 7, 30)]
+
+
 def test_a_takeover_and_a_near_deadline_are_logged(tmp_path, capsys):
     loop, decisions, _ = make_loop(tmp_path)
     taking_over = decisions.channel_state._replace(takeover=True, unbound=7, backlog=19, grace_used=0.85)
--- a/tests/node/test_proxy_membership.py
+++ b/tests/node/test_proxy_membership.py
@@ -105,3 +105,23 @@
     assert handle_all(membership, joined(1), joined(5), Ping(), stream=3) == [joined(5)]
     assert membership.handle(StreamClosed(2)) == [] and not membership.superseded
     assert handle_all(membership, joined(6), stream=3) == [joined(6)]
+
+
+def test_the_first_of_two_merged_calls_may_have_commands_of_all_replies():
+    """Guards against counting only the oldest reply if the merged withdrawals are sent again."""
+    membership = ProxyMembership()
+    membership.merge_nonces(MergedNonces(9, (7, 8)))
+    assert membership.replies(7) == membership.replies(9) == (7, 8, 9)
+    assert membership.nonces(7) == (7,), "its acknowledgement does not cover the second call"
+    membership.replace_nonce(7, 20)
+    assert membership.nonces(20) == (7, 20)
+    assert membership.replies(20) == (7, 8, 9)
+
+
+def test_a_merged_call_is_merged_again_behind_an_older_call():
+    """Guards against forgetting the nonces of the calls that were merged while an older one was held back."""
+    membership = ProxyMembership()
+    membership.merge_nonces(MergedNonces(10, (9,)))
+    membership.replace_nonce(8, 108)
+    membership.merge_nonces(MergedNonces(10, (108,)))
+    assert membership.nonces(10) == (8, 108, 9, 10)
--- /dev/null
+++ b/tests/node/test_retransmission.py
@@ -0,0 +1,99 @@
+"""A live director whose calls are executed, or not, without an answer: what it sends again, and when."""
+
+import pytest
+
+from tests.node.paced_director import PacedDirector
+from tests.node.paced_relay import Fleet
+from tests.node.platform_stubs import SETTINGS, StubDiscovery, entry
+from tests.waiting import wait_until
+
+PROXIES, SERVERS = 16, 18
+CALLS_IN_SPELL = 50  # each of them fills a fortieth of the channel if it is the whole call again
+GRACE_S = SETTINGS["safety"]["drainGraceUs"] / 1e6
+SPELL_SETTINGS = SETTINGS | {"domain": SETTINGS["domain"] | {"proxyCount": PROXIES}}
+
+
+@pytest.fixture
+def fleet():
+    return Fleet(PROXIES, SERVERS)
+
+
+@pytest.fixture
+def discovery():
+    stub = StubDiscovery(*map(entry, range(SERVERS)))
+    yield stub
+    stub.close()
+
+
+@pytest.fixture
+def director(tmp_path, fleet, discovery):
+    process = PacedDirector(tmp_path, "n0", fleet, discovery, SPELL_SETTINGS)
+    yield process
+    process.stop()
+
+
+def bind_all_proxies(director, fleet):
+    """Join all proxies, and wait until all of them are bound."""
+    wait_until(director.responds_to_heartbeat, "a heartbeat")
+    for proxy in range(PROXIES):
+        director.relay.join_proxy(proxy)
+    wait_until(lambda: len(fleet.bound) == PROXIES, "the bindings of all proxies")
+
+
+def drain(fleet, discovery, *numbers):
+    """Let discovery report that these servers drain."""
+    fleet.start_drain(f"s-{number:04x}" for number in numbers)
+    discovery.change(*(entry(number, "Terminating") for number in numbers))
+
+
+class Spell:
+    """A time during which the relay handles each call with the same behaviour, and its calls."""
+
+    def __init__(self, relay, response):
+        self.relay, self.response, self.calls = relay, response, []
+        relay.default_response = self.respond
+
+    def respond(self, commands):
+        self.calls.append(commands)
+        return self.response
+
+    def end(self):
+        self.relay.default_response = lambda commands: "accept"
+
+    def calls_with_commands(self):
+        return [commands for commands in self.calls if commands]
+
+
+@pytest.mark.parametrize("response", ["no answer, closed", "invalid answer"])
+def test_calls_executed_without_an_answer_do_not_fill_the_channel(director, fleet, discovery, response):
+    """Guards against repeating such a call without a pause: its lines filled the channel many times over.
+
+    The withdrawal of a server that drains afterwards then waited behind them for longer than the grace.
+    """
+    relay = director.relay
+    bind_all_proxies(director, fleet)
+    spell = Spell(relay, response)
+    drain(fleet, discovery, 0, 1)
+    wait_until(lambda: len(spell.calls) >= CALLS_IN_SPELL, "the calls of the spell")
+    spell.end()
+    assert relay.peak_queue_fraction <= 1.0
+    assert len(spell.calls_with_commands()) == 1, "no call was answered, so a repetition could not be either"
+    wait_until(fleet.uses_no_draining_server, "the withdrawals of the spell")
+    fleet.longest_use_us = 0
+    drain(fleet, discovery, 5)
+    wait_until(lambda: "s-0005" in relay.removed and fleet.uses_no_draining_server(), "the later withdrawal")
+    assert fleet.longest_use_s() <= GRACE_S
+    assert relay.peak_queue_fraction <= 1.0
+
+
+def test_a_lost_call_is_sent_again_once_the_relay_responds(director, fleet, discovery):
+    """Guards against a withdrawal that is never sent again, as its first transmission was not executed."""
+    relay = director.relay
+    bind_all_proxies(director, fleet)
+    spell = Spell(relay, "not read, closed")
+    drain(fleet, discovery, 3)
+    wait_until(lambda: len(spell.calls) >= 5, "the calls of the spell")
+    spell.end()
+    wait_until(lambda: relay.commands("withdraw"), "the withdrawal, sent again")
+    wait_until(fleet.uses_no_draining_server, "its execution")
+    assert len(spell.calls_with_commands()) == 1
--- a/tests/node/test_takeover.py
+++ b/tests/node/test_takeover.py
@@ -1,18 +1,13 @@
 """Takeover between two real directors on loopback: one is killed during a release of the servers."""
 
-import json
-import os
 import random
 import signal
-import subprocess
-import sys
 
 import pytest
 
-from rainpick.node.frame_codec import HEARTBEAT_REPLY
-from rainpick.simulated_peers.ports import free_ports
-from tests.node.paced_relay import Fleet, PacedRelay
-from tests.node.platform_stubs import SETTINGS, Peer, StubDiscovery, configuration_tree, entry
+from tests.node.paced_director import PacedDirector
+from tests.node.paced_relay import Fleet
+from tests.node.platform_stubs import SETTINGS, StubDiscovery, entry
 from tests.waiting import wait_until
 
 PROXIES, SERVERS = 300, 60
@@ -27,45 +22,10 @@
 }
 
 
-class Director:
-    """A director process with its relay and its address."""
-
-    def __init__(self, folder, name, fleet, discovery):
-        self.relay = PacedRelay(fleet, TAKEOVER_SETTINGS["domain"])
-        listen = "127.0.0.1", free_ports(1)[0]
-        path, self.log = folder / f"{name}.json", folder / f"{name}.log"
-        known = {"generation": 0, "reset": True, "instances": discovery.versions[0]}
-        tree = configuration_tree(
-            listen, discovery.address, self.relay.address, known=known, settings=TAKEOVER_SETTINGS
-        )
-        path.write_text(json.dumps(tree | {"name": name}))
-        with self.log.open("ab") as log:
-            self.process = subprocess.Popen(
-                [sys.executable, "-m", "rainpick.node"],
-                stderr=log,
-                env=os.environ | {"PROXY_CONFIG": str(path)},
-            )
-        self.listen = listen
-
-    def responds_to_heartbeat(self):
-        try:
-            peer = Peer(self.listen)
-        except OSError:
-            return False
-        reply = peer.send({"t": "hb"}).read(len(HEARTBEAT_REPLY))
-        peer.close()
-        return reply == HEARTBEAT_REPLY
-
-    def stop(self):
-        self.process.kill()
-        self.process.wait()
-        self.relay.close()
-
-
 @pytest.fixture
 def pair(tmp_path):
     discovery, fleet = StubDiscovery(*map(entry, range(SERVERS))), Fleet(PROXIES, SERVERS)
-    directors = [Director(tmp_path, name, fleet, discovery) for name in ("n0", "n1")]
+    directors = [PacedDirector(tmp_path, name, fleet, discovery, TAKEOVER_SETTINGS) for name in ("n0", "n1")]
     yield directors, discovery, fleet
     for director in directors:
         director.stop()
