Pause between polls that discovery answers at once without news

An agent that does not hold a poll, or answers each poll with the complete list of the same version, was polled as fast as it answered: 11 polls in 5 ms, each complete list a step of the decisions.

Cause: only a failed poll was followed by a pause. Ruled out: connections that break at once, whose pauses grow from 0 to 0.2 s, and the subscription to the relay's notifications, which pauses 20 ms after each stream.

Change: 50 ms after a poll that brought no new version and was answered before half of the hold; discovery ends a watch only after 200 ms.

Test: polls that are answered at once without news are repeated with a pause, with changes and with complete lists; both failed before.

--- a/rainpick/node/discovery_watch.py
+++ b/rainpick/node/discovery_watch.py
@@ -21,6 +21,9 @@
 # How long discovery must return only full lists of older versions before its version counter is assumed to
 # have been reset.
 REGRESSION_TIMEOUT_S = 2.0
+# Pause after a poll without news that discovery answered in less than half of the hold. Discovery ends a
+# watch if the next poll is more than 200 ms late.
+EARLY_RESPONSE_PAUSE_S = 0.05
 BACKOFF_S = (0.0, 0.05, 0.1, 0.2)  # delay before each retry; the last one also applies to all further retries
 
 
@@ -60,10 +63,12 @@
                 # Versions of different addresses may not be comparable.
                 attempts, self.fetch_full, previous = 0, True, client
             try:
-                self.poll(client)
+                is_early = not self.poll(client)
                 if attempts:
                     log.info("discovery reachable again", attempts=attempts)
                 attempts = 0
+                if is_early:
+                    time.sleep(EARLY_RESPONSE_PAUSE_S)
             except (ClientError, ValueError) as error:
                 client.close()
                 self.failures += 1
@@ -75,12 +80,15 @@
             if client is not self.client:
                 client.close()
 
-    def poll(self, client: Client) -> None:
+    def poll(self, client: Client) -> bool:
         """Make one request, and publish its response if it has new information.
 
-        Raises ``ClientError`` if there is no response, ``ValueError`` if the response is unusable.
+        Returns False if discovery neither had a new version nor held the poll. Raises ``ClientError`` if
+        there is no response, ``ValueError`` if the response is unusable.
         """
-        if self.fetch_full:
+        begin_s = time.monotonic()
+        fetched_full = self.fetch_full
+        if fetched_full:
             status, _, body = client.request("GET", PATH)
         else:
             path = f"{PATH}?from={self.version}&hold_ms={HOLD_MS}"
@@ -92,11 +100,14 @@
         for error in response.errors:
             log.error("endpoint list entry skipped", reason=error)
         self.responses += 1
-        if response.full or response.endpoints or response.version != self.version:
+        is_new = response.version != self.version
+        if response.full or response.endpoints or is_new:
             self.publish(response)
         self.version = response.version
         # Discovery does not repeat a change with an invalid entry, but the full list includes it.
         self.fetch_full = bool(response.errors) and not response.full
+        was_held = time.monotonic() - begin_s >= HOLD_MS / 2000
+        return fetched_full or is_new or was_held
 
     def check_version(self, response: DiscoveryResponse) -> None:
         """Raise ``ValueError`` if the response is older than the last accepted one.
--- a/tests/node/test_discovery_watch.py
+++ b/tests/node/test_discovery_watch.py
@@ -1,5 +1,6 @@
 """The discovery watch with a stub of discovery."""
 
+import json
 import time
 
 import pytest
@@ -39,6 +40,22 @@
     assert time.monotonic() - begin_s < 10 * 0.2 and len(responses) == 1
 
 
+@pytest.mark.parametrize("full", [False, True])
+def test_polls_that_are_answered_at_once_without_news_are_repeated_with_a_pause(discovery, full):
+    """Guards against polling as fast as discovery answers, which leaves the director no time."""
+    unchanged = json.dumps({"generation": 1, "reset": full, "instances": []}).encode()
+    watch, responses = start_watch(discovery)
+    wait_until(lambda: responses, "the list")
+    discovery.forced_responses = [Response(200, unchanged)] * 11
+    begin_s = time.monotonic()
+    discovery.change(entry(1, "Terminating"))
+    wait_until(lambda: not discovery.forced_responses, "the polls without news")
+    assert time.monotonic() - begin_s >= 10 * discovery_watch.EARLY_RESPONSE_PAUSE_S
+    discovery.change(entry(2, "Terminating"))
+    wait_until(lambda: endpoint_states(responses)[-1] == {"s-0002": model.EndpointState.DRAINING}, "the news")
+    assert watch.failures == 0
+
+
 @pytest.mark.parametrize(
     "unusable",
     [
