Count the second message to a proxy when the relay executes a call in two parts

When the relay rejects one command of a call (a proxy that has left), the commands behind it go out as another call. A proxy that both parts concern, such as one that is bound after a withdrawal, then gets two messages for a reply that counts one. The cap of messages was exceeded in virtual time: 13 within 10 s where 12 are allowed.

Ruled out: parts that only bind proxies, as each proxy is in one of them; calls that the relay rejects as a whole, as nothing of them is executed.

Change: the client reports the proxies that both parts may concern (`SplitCall`); the decisions take a message from the allowance of each and count the lines of its head (`CallSplit`).

Still open: the acknowledgement of the first part releases the lines of the whole reply, for the time until the second part is acknowledged.

Tests: calls executed in two parts keep the cap (failed before, 13 of 12); which proxies both parts concern; what the client and the event loop report.

--- a/rainpick/decisions/director.py
+++ b/rainpick/decisions/director.py
@@ -33,7 +33,7 @@
 from rainpick.decisions.overload import OverloadProtection
 from rainpick.decisions.proxy_membership import ProxyMembership
 from rainpick.decisions.publisher import Publisher
-from rainpick.decisions.retransmission import RetransmissionRequested, Retransmissions
+from rainpick.decisions.retransmission import CallSplit, RetransmissionRequested, Retransmissions
 from rainpick.decisions.send_queue import ChannelState
 from rainpick.decisions.servers import ServerState
 from rainpick.decisions.settings import TICK_US, UPDATE_INTERVAL_US, read_settings
@@ -129,6 +129,7 @@
             model.ProxyJoined: self.proxy_joined,
             model.ProxyLeft: self.proxy_membership.left,
             model.Acknowledged: self.publisher.acknowledged,
+            CallSplit: self.retransmissions.split,
             RetransmissionRequested: self.retransmissions.requested,
             model.Retransmitted: self.retransmitted,
             model.ServerLoadReport: self.server_reported,
--- a/rainpick/decisions/publisher.py
+++ b/rainpick/decisions/publisher.py
@@ -118,6 +118,14 @@
         self.queue.insert(previous_nonce, nonce, sum(costs.values()))
         return nonce
 
+    def count_second_messages(self, nonce: int, numbers: Iterable[int]) -> None:
+        """Count another message, which has the head lines only, to each of these proxies for one call."""
+        for number in numbers:
+            if proxy := self.fleet.proxies.get(number):
+                proxy.insert_message(nonce, SentMessage(nonce, self.head_lines))
+                proxy.message_tokens -= 1
+                self.queue.retransmit(self.head_lines)
+
     def discard_message(self, number: int, nonce: int) -> None:
         """Stop counting the lines of a message to a proxy unless the proxy has left or acknowledged it."""
         if proxy := self.fleet.proxies.get(number):
--- a/rainpick/decisions/retransmission.py
+++ b/rainpick/decisions/retransmission.py
@@ -8,7 +8,7 @@
 Each transmission has a nonce of its own. An acknowledgement therefore shows which of them was executed, and
 the lines of the others are counted no longer than they can be in the channel.
 
-The event and the command of this module are not in ``rainpick.model``, whose types are all declared in
+The events and the command of this module are not in ``rainpick.model``, whose types are all declared in
 records. Only the live director uses them, and it keeps no record.
 """
 
@@ -36,6 +36,18 @@
     replies: tuple[int, ...]
 
 
+class CallSplit(NamedTuple):
+    """Event: the relay executes a call in two parts, since it rejected a command.
+
+    Each of ``proxies`` is sent a message for each part; None: all proxies of ``replies``, which are the
+    nonces of all replies with commands in the call.
+    """
+
+    nonce: int
+    replies: tuple[int, ...]
+    proxies: frozenset[int] | None
+
+
 class Retransmit(NamedTuple):
     """Command: send the call with ``previous_nonce`` again, as requested, and with ``nonce`` instead.
 
@@ -74,6 +86,13 @@
         """Remember the call that waits to be sent again."""
         self.request, self.requested_us = event, self.fleet.clock.now
 
+    def split(self, event: CallSplit) -> None:
+        """Count the second message to each proxy that both parts of a call concern."""
+        proxies = event.proxies
+        if proxies is None:
+            proxies = frozenset(self.publisher.retransmission_costs(event.replies))
+        self.publisher.count_second_messages(event.nonce, proxies)
+
     def publish(self) -> None:
         """Order the retransmission of the waiting call if the limits allow it."""
         self.expire()
--- a/rainpick/decisions/send_queue.py
+++ b/rainpick/decisions/send_queue.py
@@ -143,7 +143,7 @@
         self.waiting += lines
 
     def retransmit(self, lines: int) -> None:
-        """Count the lines of a message a second time, for the event ``Retransmitted``."""
+        """Count more lines of a reply that was written before, sent with another message."""
         self.total += lines
         self.waiting += lines
 
--- a/rainpick/director/stepper.py
+++ b/rainpick/director/stepper.py
@@ -8,10 +8,11 @@
 
 from rainpick import model
 from rainpick.decisions.director import Director
-from rainpick.decisions.retransmission import RetransmissionRequested, Retransmit
+from rainpick.decisions.retransmission import CallSplit, RetransmissionRequested, Retransmit
 
 Event = (
-    model.Acknowledged
+    CallSplit
+    | model.Acknowledged
     | model.EndpointUpdate
     | model.KeyRangeAssigned
     | model.KeyRangeLoadReport
--- a/rainpick/node/commit_calls.py
+++ b/rainpick/node/commit_calls.py
@@ -97,6 +97,16 @@
     nonce: int
 
 
+class SplitCall(NamedTuple):
+    """The commands of the call with this nonce are executed in two parts, since the relay rejected a command.
+
+    ``proxies`` are sent a message for each part; None: all proxies of the call.
+    """
+
+    nonce: int
+    proxies: frozenset[int] | None
+
+
 class Retransmission(NamedTuple):
     """The unconfirmed call with ``previous_nonce`` may be sent again, with ``nonce``."""
 
@@ -116,6 +126,24 @@
     return CommitCall(acknowledgement, tuple(others)) if others or acknowledgement is not None else None
 
 
+def concerned_proxies(commands: Iterable[TableCommand]) -> frozenset[int] | None:
+    """Return the proxies that the commands bind; None if a command concerns the proxies of whole tables."""
+    proxies = set()
+    for command in commands:
+        if not isinstance(command, model.BindProxy):
+            return None
+        proxies.add(command.proxy)
+    return frozenset(proxies)
+
+
+def proxies_of_both(first: Iterable[TableCommand], second: Iterable[TableCommand]) -> frozenset[int] | None:
+    """Return the proxies that may be concerned by both parts of a call; None if these may be all proxies."""
+    first_proxies, second_proxies = concerned_proxies(first), concerned_proxies(second)
+    if first_proxies is None or second_proxies is None:
+        return second_proxies if first_proxies is None else first_proxies
+    return first_proxies & second_proxies
+
+
 def merge_calls(calls: Sequence[CommitCall]) -> tuple[list[CommitCall], MergedNonces | None]:
     """Merge unsent calls into one call, or into two, the first of which has only withdrawals.
 
--- a/rainpick/node/commit_client.py
+++ b/rainpick/node/commit_client.py
@@ -17,8 +17,10 @@
     CommitCall,
     MergedNonces,
     Retransmission,
+    SplitCall,
     UnconfirmedCall,
     merge_calls,
+    proxies_of_both,
 )
 from rainpick.node.commit_connection import CommitConnection, UnconfirmedCallError
 from rainpick.node.commit_responses import BUSY, Accepted, Rejected
@@ -53,14 +55,14 @@
 
     Calls that are queued while another call is in progress or the relay is unreachable are merged, see
     ``merge_calls``; an unconfirmed call is merged once it may be sent again. If the calls have nonces,
-    ``notify`` receives a ``MergedNonces`` for merged calls.
+    ``notify`` receives a ``MergedNonces`` for merged calls and a ``SplitCall`` for each further part of one.
     """
 
     def __init__(
         self,
         address: SocketAddress,
         routes: Sequence[str],
-        notify: Callable[[MergedNonces | UnconfirmedCall], None],
+        notify: Callable[[MergedNonces | SplitCall | UnconfirmedCall], None],
     ):
         self.address = address
         self.notify = notify
@@ -226,7 +228,18 @@
         else:
             accepted = part.size  # skip the whole part as if it had been accepted
         self.handle_accepted(part, accepted)
-        return call.remaining(accepted, part)
+        remaining = call.remaining(accepted, part)
+        if remaining is not None and isinstance(response, Accepted):
+            self.report_split(part, accepted, remaining)
+        return remaining
+
+    def report_split(self, part: CommitCall, accepted: int, remaining: CommitCall) -> None:
+        """Report the proxies that are sent another message, because they are concerned by both parts."""
+        if part.nonce is None:
+            return
+        proxies = proxies_of_both(part.commands[: max(0, accepted - 1)], remaining.commands)
+        if proxies is None or proxies:
+            self.notify(SplitCall(part.nonce, proxies))
 
     def handle_unconfirmed(self, part: CommitCall, error: UnconfirmedCallError) -> None:
         """Close the connection, and hold the call back until the relay responds to an empty call.
--- a/rainpick/node/event_loop.py
+++ b/rainpick/node/event_loop.py
@@ -8,11 +8,11 @@
 
 from rainpick import model
 from rainpick.decisions.director import Director
-from rainpick.decisions.retransmission import RetransmissionRequested, Retransmit
+from rainpick.decisions.retransmission import CallSplit, RetransmissionRequested, Retransmit
 from rainpick.director.stepper import Stepper
 from rainpick.node.channel_monitor import OBSERVATION_PERIOD_US, ChannelMonitor, rounded
 from rainpick.node.clock import Clock
-from rainpick.node.commit_calls import CommitCall, MergedNonces, Retransmission, commit_call
+from rainpick.node.commit_calls import CommitCall, MergedNonces, Retransmission, SplitCall, commit_call
 from rainpick.node.configuration import Configuration
 from rainpick.node.endpoint_discovery import DiscoveryResponse
 from rainpick.node.endpoint_list import EndpointList
@@ -98,6 +98,9 @@
             events.append(self.endpoints.apply(notification))
         elif isinstance(notification, MergedNonces):
             self.membership.merge_nonces(notification)
+        elif isinstance(notification, SplitCall):
+            nonce, proxies = notification
+            events.append(CallSplit(nonce, self.membership.replies(nonce), proxies))
         else:
             replies = self.membership.replies(notification.nonce)
             events.append(RetransmissionRequested(notification.nonce, replies))
--- a/tests/decisions/test_retransmission.py
+++ b/tests/decisions/test_retransmission.py
@@ -15,7 +15,7 @@
 from rainpick import model
 from rainpick.decisions.director import Director
 from rainpick.decisions.proxies import ProxyGroup, ProxyState, SentMessage
-from rainpick.decisions.retransmission import RetransmissionRequested, Retransmit
+from rainpick.decisions.retransmission import CallSplit, RetransmissionRequested, Retransmit
 from rainpick.director.stepper import Stepper
 from tests.takeover.channel import Channel, ProxyTables
 
@@ -242,6 +242,30 @@
     assert fleet.transmissions == 1
 
 
+class SplittingRelay(Fleet):
+    """Executes each call in two parts, which are a message each to every proxy that the call concerns."""
+
+    def execute(self, nonce: int | None, commands: list) -> None:
+        super().execute(nonce, commands)
+        reached = [
+            proxy for proxy, times_us in self.messages.items() if times_us and times_us[-1] == self.now
+        ]
+        for proxy in reached:
+            self.count_message(proxy)
+        if reached:
+            self.receive(CallSplit(nonce, (nonce,), None))
+
+
+def test_calls_that_are_executed_in_two_parts_keep_the_cap_on_messages():
+    """Guards against a second message for one call that the cap does not count."""
+    fleet = SplittingRelay(8, 12, [])
+    for number, name in enumerate(NAMES[:9]):
+        fleet.schedule(2_000_000 + number * 400_000, lambda name=name: fleet.drain(name))
+    fleet.run(40_000_000)
+    assert [fleet.users(name) for name in NAMES[:9]] == [0] * 9
+    assert fleet.unacknowledged_lines() == 0
+
+
 def test_a_retransmission_is_acknowledged_before_newer_messages():
     """Guards against taking newer messages, still in the channel, for acknowledged ones."""
     event = model.ProxyJoined(1, True, 1.0, 0)
--- a/tests/node/test_commit_client_races.py
+++ b/tests/node/test_commit_client_races.py
@@ -6,7 +6,7 @@
 
 from rainpick import model
 from rainpick.node import commit_client, commit_connection
-from rainpick.node.commit_calls import MergedNonces, Retransmission, UnconfirmedCall, commit_call
+from rainpick.node.commit_calls import MergedNonces, Retransmission, SplitCall, UnconfirmedCall, commit_call
 from rainpick.node.commit_client import CommitClient
 from tests.node.platform_stubs import VOCABULARY
 from tests.node.stub_relay import StubRelay, cleared_tables
@@ -165,6 +165,26 @@
     assert notifications[-1] == MergedNonces(10, (108,))
 
 
+def test_the_proxies_that_are_sent_a_message_for_each_part_of_a_call_are_reported(relay):
+    """Guards against a second message that no cap counts: a bind after a withdrawal and a rejected bind."""
+    relay.responses = [2]  # the request and the withdrawal are accepted, the first bind is rejected
+    client, notifications = start_client_with_decisions(relay)
+    binds = [model.BindProxy(1, model.ALL_ROUTES, proxy) for proxy in (4, 5, 6)]
+    request = model.RequestAcknowledgement(7, False)
+    client.send(commit_call([model.SetWithdrawn("s-1", True), *binds, request]))
+    wait_until(lambda: client.counts["calls"] == 2, "both parts")
+    assert notifications == [SplitCall(7, frozenset({5, 6}))]
+
+
+def test_parts_that_concern_different_proxies_are_no_split(relay):
+    relay.responses = [2]
+    client, notifications = start_client_with_decisions(relay)
+    binds = [model.BindProxy(1, model.ALL_ROUTES, proxy) for proxy in (4, 5, 6)]
+    client.send(commit_call([*binds, model.RequestAcknowledgement(7, False)]))
+    wait_until(lambda: client.counts["calls"] == 2, "both parts")
+    assert notifications == []
+
+
 def test_no_command_is_sent_while_the_relay_answers_no_call(relay):
     """Guards against repeating a call without a pause: each execution fills the channel further."""
     relay.default_response = lambda commands: "no answer, closed"
--- a/tests/node/test_event_loop.py
+++ b/tests/node/test_event_loop.py
@@ -5,10 +5,10 @@
 
 from rainpick import model
 from rainpick.decisions.director import Director
-from rainpick.decisions.retransmission import RetransmissionRequested, Retransmit
+from rainpick.decisions.retransmission import CallSplit, RetransmissionRequested, Retransmit
 from rainpick.decisions.send_queue import ChannelState
 from rainpick.node.clock import Clock
-from rainpick.node.commit_calls import CommitCall, MergedNonces, Retransmission, UnconfirmedCall
+from rainpick.node.commit_calls import CommitCall, MergedNonces, Retransmission, SplitCall, UnconfirmedCall
 from rainpick.node.configuration import read_configuration
 from rainpick.node.endpoint_discovery import parse_discovery_response
 from rainpick.node.event_loop import EventLoop
@@ -182,6 +182,12 @@
     ]
 
 
+def test_a_split_call_is_reported_to_the_decisions_with_its_replies(tmp_path):
+    loop, decisions, _ = make_loop(tmp_path)
+    loop.process_batch([MergedNonces(7, (5,)), SplitCall(7, None), SplitCall(9, frozenset({3}))], [])
+    assert decisions.events[2:] == [CallSplit(7, (5, 7), None), CallSplit(9, (9,), frozenset({3}))]
+
+
 def test_an_allowed_retransmission_is_sent_and_its_nonce_acknowledges_the_previous_ones(tmp_path):
     """Guards against lines that stay counted: the relay acknowledges only attempts that it executed."""
     loop, decisions, sent = make_loop(tmp_path)
