Space the whole tables for an MQTT proxy that keeps reporting faults

A proxy that answered each whole table with another fault was sent the next one at once: with a channel of 200 lines a second it took 2,000 lines in 10 s, all there were, while nine other proxies waited. A proxy that takes no message counted its table once more with each fault: 256 lines after 50 faults, for a message of 10.

Ruled out: urgent messages, which go first; a cap on messages limits it too, but most fleets have none.

Change: after a whole table, the next one for this proxy waits for the time in which all joined proxies could be sent one each (`director/resynchronisation.py`); the first fault is still answered at once. One that is pending is not added again.

Tests: a proxy that applies no table does not take the channel from the others; faults that are reported again and again count once.

--- a/rainpick/director/channel.py
+++ b/rainpick/director/channel.py
@@ -143,10 +143,13 @@
             return message
         return None
 
+    def cost_us(self, lines: int) -> float:
+        """Return the time in microseconds that the channel takes for a message of ``lines`` lines."""
+        return (lines + self.head_lines) * self.us_per_line
+
     def record_sent(self, proxy: int, lines: int, now: int) -> None:
         """Record that a message of ``lines`` lines was sent; its cost delays the next message."""
-        cost_us = (lines + self.head_lines) * self.us_per_line
-        self.busy_until_us = max(self.busy_until_us, now) + cost_us
+        self.busy_until_us = max(self.busy_until_us, now) + self.cost_us(lines)
         if self.max_messages and proxy in self.sent_us:
             self.sent_us[proxy].append(now)
 
--- a/rainpick/director/engine.py
+++ b/rainpick/director/engine.py
@@ -15,6 +15,7 @@
 from rainpick.decisions.director import Director
 from rainpick.director.addresses import Key
 from rainpick.director.channel import Channel, PendingMessage
+from rainpick.director.resynchronisation import Resynchronisations
 from rainpick.director.snapshots import Delta, Scale, Snapshot
 from rainpick.director.stepper import Command, Stepper
 from rainpick.director.tables import ProxyCommands, Tables
@@ -107,6 +108,7 @@
         self.channel = Channel(
             channel.lines_per_s, channel.head_lines, channel.messages_most, channel.messages_over
         )
+        self.resynchronisations = Resynchronisations()
         self.listed: dict[Key, model.Endpoint] = {}  # endpoint list; removed servers stay in it as GONE
         self.tables = Tables(Scale(settings.fleet.weight_most), self.listed_weight)
         self.acknowledgements: list[model.Acknowledged] = []  # passed to ``Director`` in the next step
@@ -156,6 +158,7 @@
             return
         self.tables.leave(proxy)
         self.channel.leave(proxy)
+        self.resynchronisations.leave(proxy)
         del self.sent[proxy]
         self.acknowledgements = [
             acknowledgement for acknowledgement in self.acknowledgements if acknowledgement.proxy != proxy
@@ -196,8 +199,18 @@
             self.channel.enqueue(proxy, lines, True, None, self.now)
 
     def invalidate_snapshot(self, proxy: int) -> None:
-        """Enqueue the whole table of a proxy that can't apply an update of the table."""
-        self.channel.enqueue(proxy, self.tables.invalidate_snapshot(proxy), False, None, self.now)
+        """Request the whole table for a proxy that can't apply an update of the table."""
+        self.resynchronisations.request(proxy, self.now)
+
+    def enqueue_whole_tables(self) -> None:
+        """Enqueue the whole tables that are due; one that is still pending is not enqueued again."""
+        for proxy in self.resynchronisations.take_due(self.now):
+            if proxy in self.channel.waiting and not self.tables.proxies[proxy].snapshot.known:
+                continue
+            lines = self.tables.invalidate_snapshot(proxy)
+            self.channel.enqueue(proxy, lines, False, None, self.now)
+            cost_us = self.channel.cost_us(lines)
+            self.resynchronisations.enqueued(proxy, cost_us, len(self.sent), self.now)
 
     def table_changed(self, table: int) -> None:
         """Enqueue a message for each proxy of a table whose published lines an operator changed."""
@@ -213,7 +226,7 @@
 
     def due_us(self) -> int | None:
         """Return when ``advance`` must be called next if no further event arrives; None if never."""
-        times = [self.stepper.due_us(), self.channel.due_us(self.now)]
+        times = [self.stepper.due_us(), self.channel.due_us(self.now), self.resynchronisations.due_us()]
         if self.stepper.pending_events:
             times.append(self.now)
         elif self.acknowledgements:
@@ -228,6 +241,7 @@
         if self.stepper.pending_events or self.acknowledgements and overdue:
             acknowledgements, self.acknowledgements = self.acknowledgements, []
             self.apply_commands(self.stepper.step(self.now, acknowledgements))
+        self.enqueue_whole_tables()
         while (pending := self.channel.dequeue(self.now)) is not None:
             message = self.build_message(pending)
             if message is not None:
--- a/tests/director/test_engine.py
+++ b/tests/director/test_engine.py
@@ -244,3 +244,35 @@
     drive.engine.confirm_delivery(1, 1)
     drive.run(0.1)
     assert [event.nonce for event in director.received_events if type(event) is model.Acknowledged] == [1, 2]
+
+
+def test_a_proxy_that_applies_no_table_does_not_take_the_channel_from_the_others():
+    """Guards against sending whole tables as fast as a proxy reports faults: the others' lines then wait."""
+    drive = Drive("channel: {lines_per_s: 200, head_lines: 6, pending_lines: 5000}")
+    for number in range(10):
+        drive.join(number)
+    drive.run(20)
+    start, begin_us = len(drive.messages), drive.now
+    while drive.now < begin_us + 10_000_000:
+        drive.engine.invalidate_snapshot(0)
+        drive.run(0.05)
+    lines = [len(message.delta.lines) + 6 for _, message in drive.messages[start:] if message.proxy == 0]
+    assert lines and sum(lines) <= 10 * 200 / 10 + max(lines), "its share of the channel"
+    assert drive.is_up_to_date(0)
+
+
+def test_faults_that_are_reported_again_and_again_count_the_whole_table_once():
+    """Guards against a length of the queue that grows with each fault while the proxy takes no message."""
+    drive = Drive()
+    drive.join(0)
+    drive.run(1)
+    drive.engine.set_blocked(0, True)
+    for _ in range(50):
+        drive.engine.invalidate_snapshot(0)
+        drive.run(0.2)
+    assert drive.engine.channel.lines <= 1 + len(drive.held_lines[0]) + drive.engine.channel.head_lines
+    drive.engine.set_blocked(0, False)
+    start = len(drive.messages)
+    drive.run(1)
+    assert [len(message.delta.lines) for _, message in drive.messages[start:]] == [4]
+    assert drive.engine.channel.lines == 0
