Count all lines of a push that has all members towards the pace of the channel

Callers saw nothing yet: found on the daemon's fronts, what is counted as sent. A SASP proxy without the flag "no change" is pushed all members whenever one has changed, but the channel counted the changed line only. With 100 lines a second, four such pushes of 36 lines left within 0.57 s where the pace allows 1.08 s.

Change: the frontend records the lines that it adds, which delay the next message. Still open: the decisions expect these messages to take the changed lines alone, and notice the slower channel by its acknowledgements.

--- a/rainpick/director/channel.py
+++ b/rainpick/director/channel.py
@@ -153,6 +153,10 @@
         if self.max_messages and proxy in self.sent_us:
             self.sent_us[proxy].append(now)
 
+    def record_additional_lines(self, lines: int) -> None:
+        """Record that the last message had more lines than was recorded; they delay the next message."""
+        self.busy_until_us += lines * self.us_per_line
+
     def due_us(self, now: int) -> int | None:
         """Return the earliest time at which ``dequeue`` may return a message; None if none is unblocked."""
         proxies = [proxy for proxy in self.waiting if proxy not in self.blocked]
--- a/rainpick/director/engine.py
+++ b/rainpick/director/engine.py
@@ -302,6 +302,11 @@
         self.counts.lines += lines
         return OutgoingMessage(pending.proxy, number, delta, before, proxy.snapshot, commands)
 
+    def record_additional_lines(self, lines: int) -> None:
+        """Record lines that a message was sent in addition to those of its delta."""
+        self.channel.record_additional_lines(lines)
+        self.counts.lines += lines
+
     def new_commands(self, number: int) -> ProxyCommands | None:
         """Return the commands for a proxy and record them as sent.
 
--- a/rainpick/director/sasp_frontend.py
+++ b/rainpick/director/sasp_frontend.py
@@ -230,6 +230,8 @@
             snapshot = self.context.started_engine.tables.proxies[message.proxy].snapshot
             withdrawn = tuple([line for line in withdrawn if line.server not in snapshot.lines])
             others = snapshot.sorted_entries()
+            additional = len(withdrawn) + len(others) - len(message.delta.lines)
+            self.context.started_engine.record_additional_lines(additional)
         if session.unconfirmed_since_us is None:
             session.unconfirmed_since_us, session.replied_since_push = now, False
         session.last_message = (session.last_message + 1) & MAX_MESSAGE
--- a/tests/loopback/test_daemon.py
+++ b/tests/loopback/test_daemon.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from rainpick.director.channel import PACE_TOLERANCE_US
 from rainpick.sasp.constants import (
     CONTACT,
     HEADER_TYPE,
@@ -69,6 +70,26 @@
         assert len(proxy.messages[-1].groups[0].entries) == 2
 
 
+def test_pushes_with_all_members_keep_the_pace_of_the_channel():
+    """Guards against counting only the changed lines of a push that has all members."""
+    ports, lines_per_s, head_lines, count = range(9001, 9031), 100, 6, 4
+    channel = f"channel: {{lines_per_s: {lines_per_s}, head_lines: {head_lines}, pending_lines: 5000}}"
+    with running_director(channel) as daemon:
+        fleet = MemberClient(daemon, *ports)
+        proxies = [
+            ProxyClient(daemon, f"edge-{number}", *ports, flags=PUSH | TRUST) for number in range(count)
+        ]
+        for proxy in proxies:
+            proxy.until(lambda weights: set(weights) == set(ports) and set(weights.values()) == {FULL})
+        begin_s = time.monotonic()
+        fleet.quiesce(9001)
+        for proxy in proxies:
+            proxy.until(lambda weights: 9001 not in weights)
+            assert len(proxy.messages[-1].groups[0].entries) == len(ports)
+        lines = (count - 1) * (len(ports) + head_lines)  # the last push waits for all others
+        assert time.monotonic() - begin_s >= lines / lines_per_s - PACE_TOLERANCE_US / 1e6
+
+
 def test_a_polling_proxy_gets_the_poll_interval_and_only_changed_members():
     with running_director("sasp: {poll_interval_s: 2}") as daemon:
         fleet = MemberClient(daemon, 9001, 9002)
