Expect an acknowledgement of each part of a call that the relay executes in two

Change: for a proxy that is known to be in both parts, the lines stay counted until the second acknowledgement, or that of a newer message. Where the second part may reach any proxy of a table none is expected, since one that never comes would leave the lines counted.

Only suspected, not changed: withdrawals that are merged into a call of their own carry the nonce of the oldest merged reply, whose other lines are then released with it. The send window, which goes by lines transmitted, limits what follows.

--- a/rainpick/decisions/proxies.py
+++ b/rainpick/decisions/proxies.py
@@ -13,10 +13,11 @@
 
 
 class SentMessage(NamedTuple):
-    """A message that a proxy has not acknowledged."""
+    """A message that a proxy has not acknowledged, or several with the same nonce."""
 
     nonce: int
     lines: int
+    acknowledgements: int = 1  # number of acknowledgements still to come
 
 
 class ProxyState:
@@ -53,6 +54,30 @@
                 position = index
         self.unacknowledged.insert(position, message)
 
+    def split_message(self, nonce: int, lines: int, acknowledgements: int) -> None:
+        """Count ``lines`` more lines of the message with this nonce, and expect more acknowledgements."""
+        for index, sent in enumerate(self.unacknowledged):
+            if sent.nonce == nonce:
+                total = sent.acknowledgements + acknowledgements
+                self.unacknowledged[index] = SentMessage(nonce, sent.lines + lines, total)
+                return
+        self.unacknowledged.appendleft(SentMessage(nonce, lines))
+
+    def acknowledge(self, nonce: int) -> list[SentMessage]:
+        """Remove the messages up to the newest with this nonce, and return them; none if there is none.
+
+        If more acknowledgements of a message with this nonce are still to come, it stays.
+        """
+        acknowledged: list[SentMessage] = []
+        while any(message.nonce == nonce for message in self.unacknowledged):
+            message = self.unacknowledged.popleft()
+            if message.nonce == nonce and message.acknowledgements > 1:
+                remaining = message._replace(acknowledgements=message.acknowledgements - 1)
+                self.unacknowledged.appendleft(remaining)
+                break
+            acknowledged.append(message)
+        return acknowledged
+
     def discard_message(self, nonce: int) -> int:
         """Remove the unacknowledged message with this nonce; return its lines, 0 if there is none."""
         for message in self.unacknowledged:
--- a/rainpick/decisions/publisher.py
+++ b/rainpick/decisions/publisher.py
@@ -80,10 +80,9 @@
 
     def acknowledged(self, event: Acknowledged) -> None:
         """Record that a proxy has applied a message and all messages before it."""
-        proxy = self.fleet.proxies.get(event.proxy)
-        while proxy and any(message.nonce == event.nonce for message in proxy.unacknowledged):
-            message = proxy.unacknowledged.popleft()
-            self.queue.acknowledge(message.nonce, message.lines)
+        if proxy := self.fleet.proxies.get(event.proxy):
+            for message in proxy.acknowledge(event.nonce):
+                self.queue.acknowledge(message.nonce, message.lines)
 
     def retransmitted(self, nonce: int) -> None:
         """Count the lines and messages of a reply a second time, for the event ``Retransmitted``.
@@ -118,11 +117,14 @@
         self.queue.insert(previous_nonce, nonce, sum(costs.values()))
         return nonce
 
-    def count_second_messages(self, nonce: int, numbers: Iterable[int]) -> None:
-        """Count another message, which has the head lines only, to each of these proxies for one call."""
+    def count_second_messages(self, nonce: int, numbers: Iterable[int], acknowledgements: int) -> None:
+        """Count another message, with additional head lines, to each of these proxies for one call.
+
+        ``acknowledgements``: how many more acknowledgements of the call are expected from each of them.
+        """
         for number in numbers:
             if proxy := self.fleet.proxies.get(number):
-                proxy.insert_message(nonce, SentMessage(nonce, self.head_lines))
+                proxy.split_message(nonce, self.head_lines, acknowledgements)
                 proxy.message_tokens -= 1
                 self.queue.retransmit(self.head_lines)
 
--- a/rainpick/decisions/retransmission.py
+++ b/rainpick/decisions/retransmission.py
@@ -87,11 +87,16 @@
         self.request, self.requested_us = event, self.fleet.clock.now
 
     def split(self, event: CallSplit) -> None:
-        """Count the second message to each proxy that both parts of a call concern."""
-        proxies = event.proxies
-        if proxies is None:
-            proxies = frozenset(self.publisher.retransmission_costs(event.replies))
-        self.publisher.count_second_messages(event.nonce, proxies)
+        """Count the second message to each proxy that both parts of a call concern.
+
+        If it is not known which proxies the second part reaches, no second acknowledgement is expected: one
+        that never comes would leave the lines of the message counted.
+        """
+        if event.proxies is None:
+            proxies = self.publisher.retransmission_costs(event.replies)
+            self.publisher.count_second_messages(event.nonce, proxies, acknowledgements=0)
+        else:
+            self.publisher.count_second_messages(event.nonce, event.proxies, acknowledgements=1)
 
     def publish(self) -> None:
         """Order the retransmission of the waiting call if the limits allow it."""
--- a/tests/decisions/test_retransmission.py
+++ b/tests/decisions/test_retransmission.py
@@ -266,6 +266,20 @@
     assert fleet.unacknowledged_lines() == 0
 
 
+def test_the_first_of_two_parts_acknowledges_no_lines_of_the_second():
+    """Guards against taking the lines of the second part for transmitted while they wait in the channel."""
+    fleet = Fleet(8, 0, [])
+    fleet.run(52_000)
+    nonce = next(reversed(fleet.stepper.director.publisher.reply_costs))
+    fleet.receive(CallSplit(nonce, (nonce,), frozenset({3})))
+    fleet.run(1_000_000)
+    bound = fleet.stepper.director.publisher.reply_costs[nonce][3]
+    assert fleet.unacknowledged_lines() >= bound, "proxy 3 has acknowledged the first part only"
+    fleet.receive(model.Acknowledged(3, nonce, LATENCY_US))
+    fleet.run(1_100_000)
+    assert fleet.unacknowledged_lines() == 0
+
+
 def test_a_retransmission_is_acknowledged_before_newer_messages():
     """Guards against taking newer messages, still in the channel, for acknowledged ones."""
     event = model.ProxyJoined(1, True, 1.0, 0)
