Keep the cost of every reply that may be unconfirmed, bounded by the queue's limit

The costs of the newest 64 replies were kept. In an outage of some seconds each joining proxy is a reply of its own, and the call merged from a hundred of them would have counted 64 when it was sent again.

Change: a module of its own keeps the newest replies up to the lines that may wait in the channel. Calls are sent in order, so no reply older than that can be unconfirmed, and the memory is bounded by the queue's limit.

Test: a call that was merged from many replies counts all of them (failed before, 64 replies).

--- a/rainpick/decisions/publisher.py
+++ b/rainpick/decisions/publisher.py
@@ -10,6 +10,7 @@
 
 from rainpick.decisions.fleet import Fleet
 from rainpick.decisions.proxies import MessageLimit, ProxyGroup, ProxyState, SentMessage
+from rainpick.decisions.reply_costs import ReplyCosts
 from rainpick.decisions.send_queue import Quota, Quotas, SendQueue
 from rainpick.decisions.settings import UPDATE_INTERVAL_US, DecisionSettings
 from rainpick.decisions.tables import Table
@@ -24,7 +25,6 @@
 )
 
 NONCE_COUNT = 65536
-REPLIES_MAX = 64  # replies whose costs are kept for a retransmission; older ones have long been executed
 # The send window is the number of lines that the channel sends during WINDOW_UPDATE_INTERVALS update
 # intervals, since a step may be late, plus WINDOW_DELIVERY_DELAYS delivery delays, for lines in transit and
 # for lines that were delivered but are not acknowledged yet.
@@ -74,7 +74,7 @@
         self.nonce = 0
         self.commands: list[object] = []
         self.written: list[tuple[ProxyState, int]] = []  # proxies, and the number of lines sent to each
-        self.reply_costs: dict[int, dict[int, int]] = {}  # by nonce, the lines sent to each proxy by number
+        self.reply_costs = ReplyCosts(settings.channel_lines_max)
 
     # Events
 
@@ -100,12 +100,7 @@
 
     def retransmission_costs(self, nonces: Iterable[int]) -> dict[int, int]:
         """Return the number of lines, by joined proxy, that sending these replies again takes."""
-        costs: dict[int, int] = {}
-        for nonce in nonces:
-            for number, lines in self.reply_costs.get(nonce, {}).items():
-                if number in self.fleet.proxies:
-                    costs[number] = costs.get(number, 0) + lines
-        return costs
+        return self.reply_costs.total(nonces, self.fleet.proxies)
 
     def retransmit(self, previous_nonce: int, costs: Mapping[int, int]) -> int:
         """Count a call that is sent again, as one message to each proxy; return its new nonce."""
@@ -209,20 +204,10 @@
             proxy.unacknowledged.append(SentMessage(nonce, lines))
             proxy.message_tokens -= 1
         self.queue.write(nonce, sum(lines for _, lines in self.written))
-        self.keep_costs(nonce)
+        self.reply_costs.add(nonce, ((proxy.number, lines) for proxy, lines in self.written))
         self.written = []
 
     def next_nonce(self) -> int:
         """Advance the nonce and return it."""
         self.nonce = (self.nonce + 1) % NONCE_COUNT
         return self.nonce
-
-    def keep_costs(self, nonce: int) -> None:
-        """Remember the cost of the written reply, and forget the oldest one."""
-        costs: dict[int, int] = {}
-        for proxy, lines in self.written:
-            costs[proxy.number] = costs.get(proxy.number, 0) + lines
-        self.reply_costs.pop(nonce, None)
-        self.reply_costs[nonce] = costs
-        while len(self.reply_costs) > REPLIES_MAX:
-            del self.reply_costs[next(iter(self.reply_costs))]
--- a/tests/decisions/test_retransmission.py
+++ b/tests/decisions/test_retransmission.py
@@ -232,7 +232,7 @@
     """Guards against a call that is held back forever by the lines of its own lost transmissions."""
     fleet = Fleet(8, 0, [])
     fleet.run(3_000_000)
-    nonce = next(reversed(fleet.stepper.director.publisher.reply_costs))
+    nonce = next(reversed(fleet.stepper.director.publisher.reply_costs.by_nonce))
     fleet.calls.append((nonce, []))
     fleet.unconfirmed = True
     fleet.receive(RetransmissionRequested(nonce, (nonce,) * 200))
@@ -242,6 +242,18 @@
     assert fleet.transmissions == 1
 
 
+def test_a_call_that_was_merged_from_many_replies_counts_all_of_them():
+    """Guards against counting only the newest replies: in a long outage each join is a reply of its own."""
+    fleet = Fleet(0, 0, [Spell(0, 60_000_000, executed=False, empty_calls_answered=False)])
+    for proxy in range(100):
+        fleet.schedule(100_000 * (proxy + 1), lambda proxy=proxy: fleet.join(proxy))
+    fleet.run(12_000_000)
+    publisher = fleet.stepper.director.publisher
+    replies = tuple(publisher.reply_costs.by_nonce)
+    assert len(replies) > 64
+    assert sum(publisher.retransmission_costs(replies).values()) == fleet.unacknowledged_lines()
+
+
 class SplittingRelay(Fleet):
     """Executes each call in two parts, which are a message each to every proxy that the call concerns."""
 
@@ -270,10 +282,10 @@
     """Guards against taking the lines of the second part for transmitted while they wait in the channel."""
     fleet = Fleet(8, 0, [])
     fleet.run(52_000)
-    nonce = next(reversed(fleet.stepper.director.publisher.reply_costs))
+    nonce = next(reversed(fleet.stepper.director.publisher.reply_costs.by_nonce))
     fleet.receive(CallSplit(nonce, (nonce,), frozenset({3})))
     fleet.run(1_000_000)
-    bound = fleet.stepper.director.publisher.reply_costs[nonce][3]
+    bound = fleet.stepper.director.publisher.reply_costs.by_nonce[nonce][3]
     assert fleet.unacknowledged_lines() >= bound, "proxy 3 has acknowledged the first part only"
     fleet.receive(model.Acknowledged(3, nonce, LATENCY_US))
     fleet.run(1_100_000)
@@ -307,7 +319,7 @@
     fleet = Fleet(8, 0, [])
     fleet.run(3_000_000)
     publisher = fleet.stepper.director.publisher
-    nonce = next(reversed(publisher.reply_costs))
+    nonce = next(reversed(publisher.reply_costs.by_nonce))
     fleet.receive(RetransmissionRequested(nonce, (nonce,)))
     fleet.calls.append((nonce, []))  # without commands it reaches no proxy
     fleet.unconfirmed = True
