Repeat an unconfirmed call after growing pauses although the relay stays silent

The call waited until the relay answered an empty call, and with it each newer withdrawal, although the relay would have carried it out: 8 requests went to a drained server after the grace.

Change: while the relay answers nothing, the call is due again after 0.16, 0.32 and then 0.64 s, merged with what came meanwhile, and only if queue and cap allow it. If the relay answers empty calls, the first repetition still follows at once.

Ruled out: repeating at once when newer withdrawals wait (more messages than the pauses cost, for at most 0.64 s).

--- a/rainpick/node/commit_calls.py
+++ b/rainpick/node/commit_calls.py
@@ -91,7 +91,7 @@
 class UnconfirmedCall(NamedTuple):
     """The call with this nonce got no valid response and may have been executed.
 
-    The relay responds again, and the call waits for a ``Retransmission``.
+    The call is due to be sent again, and waits for a ``Retransmission``.
     """
 
     nonce: int
--- a/rainpick/node/commit_client.py
+++ b/rainpick/node/commit_client.py
@@ -1,8 +1,9 @@
 """Client that sends the decisions' commands to the relay, one call at a time.
 
-A call without a valid response is sent again once the relay responds to an empty call and the decisions allow
-the retransmission. If the relay rejects a single command, that command is skipped. If the relay rejects a
-whole call, the call is sent again; after repeated rejections, the command that causes them is skipped.
+A call without a valid response is sent again once the relay responds to an empty call, or after a pause, if
+the decisions allow the retransmission. If the relay rejects a single command, that command is skipped. If the
+relay rejects a whole call, the call is sent again; after repeated rejections, the command that causes them is
+skipped.
 """
 
 from __future__ import annotations
@@ -29,7 +30,13 @@
 from rainpick.node.relay_socket import RECONNECT_PAUSE_S
 
 RETRY_PAUSE_S = 0.02  # pause before a rejected call, or an empty call without a response, is sent again
-RETRY_PAUSE_LIMIT_S = 0.32  # the pause doubles up to this after each further call without a valid response
+# Pauses between an unconfirmed call and its retransmission, which double with each further one. If the relay
+# responds to empty calls, the first retransmission follows at once. If it does not, calls may still be
+# executed, and the newest withdrawals must get through.
+RESPONSIVE_PAUSE_LIMIT_S = 0.32
+UNRESPONSIVE_PAUSE_S = 0.16
+UNRESPONSIVE_PAUSE_LIMIT_S = 0.64
+DOUBLINGS_MAX = 5  # after this many, both limits are reached
 KEEP_ALIVE_S = 1.0  # idle time after which an empty call is sent, so that the relay keeps the connection open
 REJECTION_LIMIT = 5  # non-BUSY rejections of a call before it is halved or, if it has one command, skipped
 
@@ -40,8 +47,8 @@
     """Whether the first waiting call is sent again, and what has to happen before that."""
 
     NONE = "none"  # it may be sent now
-    UNCONFIRMED = "unconfirmed"  # it got no valid response, and neither has any empty call since
-    REQUESTED = "requested"  # the relay responds again; the decisions have yet to allow the retransmission
+    UNCONFIRMED = "unconfirmed"  # it got no valid response; empty calls test whether the relay responds
+    REQUESTED = "requested"  # the decisions have yet to allow the retransmission
 
 
 class CommitClient:
@@ -50,8 +57,9 @@
     A call without a valid response may have been executed. It is sent again, as a whole, before any newer
     call. This is safe because commands are idempotent: each sets a value. But each execution costs lines of
     the paced channel and a message to each proxy. Therefore the client first sends empty calls, which cost
-    nothing, until the relay responds to one. If the unconfirmed call has a nonce, the client then passes an
-    ``UnconfirmedCall`` to ``notify`` and waits for the ``Retransmission`` with the nonce of the next attempt.
+    nothing, until the relay responds to one or a pause has passed. If the unconfirmed call has a nonce, the
+    client then passes an ``UnconfirmedCall`` to ``notify``, and waits for the ``Retransmission`` with the
+    nonce of the next attempt.
 
     Calls that are queued while another call is in progress or the relay is unreachable are merged, see
     ``merge_calls``; an unconfirmed call is merged once it may be sent again. If the calls have nonces,
@@ -72,6 +80,7 @@
         self.connection = CommitConnection(routes)
         self.retry_state = RetryState.NONE
         self.unconfirmed = 0  # consecutive calls without a valid response, empty calls excluded
+        self.unconfirmed_s = 0.0  # monotonic time at which the last of them failed
         self.reachable = True  # whether the last attempt to connect succeeded
         self.rejections = 0  # rejections of the current part of a call, not counting BUSY
         self.part_limit: int | None = None  # maximum commands per part while an invalid command is located
@@ -197,9 +206,10 @@
         return True
 
     def probe(self) -> None:
-        """Send an empty call; if the relay responds, request the retransmission of the unconfirmed call."""
+        """Send an empty call; request the retransmission of the unconfirmed call if its pause has passed."""
         self.counts["probes"] += 1
-        if not self.keep_alive():
+        is_responsive = self.keep_alive()
+        if time.monotonic() < self.unconfirmed_s + self.retransmission_pause_s(is_responsive):
             time.sleep(RETRY_PAUSE_S)
             return
         nonce = self.waiting[0].nonce
@@ -209,6 +219,16 @@
         self.retry_state = RetryState.REQUESTED
         self.notify(UnconfirmedCall(nonce))
 
+    def retransmission_pause_s(self, is_responsive: bool) -> float:
+        """Return the pause between the unconfirmed call and its retransmission.
+
+        ``is_responsive``: whether the relay has responded to an empty call.
+        """
+        doubled = 1 << min(self.unconfirmed - 1, DOUBLINGS_MAX)
+        if is_responsive:
+            return min(RESPONSIVE_PAUSE_LIMIT_S, RETRY_PAUSE_S * (doubled - 1))
+        return min(UNRESPONSIVE_PAUSE_LIMIT_S, UNRESPONSIVE_PAUSE_S * doubled)
+
     def send_first_part(self, call: CommitCall) -> CommitCall | None:
         """Send the call once, or its first part if it must be split.
 
@@ -242,17 +262,13 @@
             self.notify(SplitCall(part.nonce, proxies))
 
     def handle_unconfirmed(self, part: CommitCall, error: UnconfirmedCallError) -> None:
-        """Close the connection, and hold the call back until the relay responds to an empty call.
-
-        After further calls without a valid response, pauses first.
-        """
+        """Close the connection, and hold the call back until its retransmission is due and allowed."""
         self.counts["again"] += 1
         log.warning("commit unconfirmed, sent again", reason=str(error), commands=part.size, nonce=part.nonce)
         self.connection.close()
         self.retry_state = RetryState.UNCONFIRMED
-        if self.unconfirmed:
-            time.sleep(min(RETRY_PAUSE_LIMIT_S, RETRY_PAUSE_S * 2 ** (self.unconfirmed - 1)))
         self.unconfirmed += 1
+        self.unconfirmed_s = time.monotonic()
 
     def handle_rejection(self, part: CommitCall, response: Rejected) -> bool:
         """Handle the rejection of a whole part; return True to send it again, False to skip it.
