--- a/rainpick/node/commit_client.py
+++ b/rainpick/node/commit_client.py
@@ -28,15 +28,9 @@
 from rainpick.node.configuration import SocketAddress
 from rainpick.node.log import log
 from rainpick.node.relay_socket import RECONNECT_PAUSE_S
+from rainpick.node.retry_backoff import RetryBackoff
 
 RETRY_PAUSE_S = 0.02  # pause before a rejected call, or an empty call without a response, is sent again
-# Pauses between an unconfirmed call and its retransmission, which double with each further one. If the relay
-# responds to empty calls, the first retransmission follows at once. If it does not, calls may still be
-# executed, and the newest withdrawals must get through.
-RESPONSIVE_PAUSE_LIMIT_S = 0.32
-UNRESPONSIVE_PAUSE_S = 0.16
-UNRESPONSIVE_PAUSE_LIMIT_S = 0.64
-DOUBLINGS_MAX = 5  # after this many, both limits are reached
 KEEP_ALIVE_S = 1.0  # idle time after which an empty call is sent, so that the relay keeps the connection open
 REJECTION_LIMIT = 5  # non-BUSY rejections of a call before it is halved or, if it has one command, skipped
 
@@ -79,8 +73,7 @@
         self.flush_requests: list[threading.Event] = []  # created by ``flush``, set when ``waiting`` is empty
         self.connection = CommitConnection(routes)
         self.retry_state = RetryState.NONE
-        self.unconfirmed = 0  # consecutive calls without a valid response, empty calls excluded
-        self.unconfirmed_s = 0.0  # monotonic time at which the last of them failed
+        self.backoff = RetryBackoff()
         self.reachable = True  # whether the last attempt to connect succeeded
         self.rejections = 0  # rejections of the current part of a call, not counting BUSY
         self.part_limit: int | None = None  # maximum commands per part while an invalid command is located
@@ -209,7 +202,7 @@
         """Send an empty call; request the retransmission of the unconfirmed call if its pause has passed."""
         self.counts["probes"] += 1
         is_responsive = self.keep_alive()
-        if time.monotonic() < self.unconfirmed_s + self.retransmission_pause_s(is_responsive):
+        if not self.backoff.is_due(time.monotonic(), is_responsive):
             time.sleep(RETRY_PAUSE_S)
             return
         nonce = self.waiting[0].nonce
@@ -219,16 +212,6 @@
         self.retry_state = RetryState.REQUESTED
         self.notify(UnconfirmedCall(nonce))
 
-    def retransmission_pause_s(self, is_responsive: bool) -> float:
-        """Return the pause between the unconfirmed call and its retransmission.
-
-        ``is_responsive``: whether the relay has responded to an empty call.
-        """
-        doubled = 1 << min(self.unconfirmed - 1, DOUBLINGS_MAX)
-        if is_responsive:
-            return min(RESPONSIVE_PAUSE_LIMIT_S, RETRY_PAUSE_S * (doubled - 1))
-        return min(UNRESPONSIVE_PAUSE_LIMIT_S, UNRESPONSIVE_PAUSE_S * doubled)
-
     def send_first_part(self, call: CommitCall) -> CommitCall | None:
         """Send the call once, or its first part if it must be split.
 
@@ -240,7 +223,7 @@
         except UnconfirmedCallError as error:
             self.handle_unconfirmed(part, error)
             return call
-        self.unconfirmed = 0
+        self.backoff.succeeded()
         if isinstance(response, Accepted):
             accepted = response.commands
         elif self.handle_rejection(part, response):
@@ -267,8 +250,7 @@
         log.warning("commit unconfirmed, sent again", reason=str(error), commands=part.size, nonce=part.nonce)
         self.connection.close()
         self.retry_state = RetryState.UNCONFIRMED
-        self.unconfirmed += 1
-        self.unconfirmed_s = time.monotonic()
+        self.backoff.failed(time.monotonic())
 
     def handle_rejection(self, part: CommitCall, response: Rejected) -> bool:
         """Handle the rejection of a whole part; return True to send it again, False to skip it.
--- a/tests/node/test_commit_client_races.py
+++ b/tests/node/test_commit_client_races.py
@@ -5,7 +5,7 @@
 import time
 
 from rainpick import model
-from rainpick.node import commit_client, commit_connection
+from rainpick.node import commit_client, commit_connection, retry_backoff
 from rainpick.node.commit_calls import MergedNonces, Retransmission, SplitCall, UnconfirmedCall, commit_call
 from rainpick.node.commit_client import CommitClient
 from tests.node.platform_stubs import VOCABULARY
@@ -194,7 +194,7 @@
     begin_s = time.monotonic()
     client.send(call_with_nonce(1, 8))
     wait_until(lambda: len(cleared_tables(relay)) == 3, "two repetitions")
-    assert time.monotonic() - begin_s >= 3 * commit_client.UNRESPONSIVE_PAUSE_S, (
+    assert time.monotonic() - begin_s >= 3 * retry_backoff.UNRESPONSIVE_PAUSE_S, (
         "one pause, and one twice as long"
     )
     assert client.counts["probes"] >= 2
@@ -202,8 +202,8 @@
 
 def test_an_unconfirmed_call_is_repeated_at_once_when_the_relay_responds_again(relay, monkeypatch):
     """Guards against waiting for the end of a pause, which withdrawals have no time for."""
-    monkeypatch.setattr(commit_client, "UNRESPONSIVE_PAUSE_LIMIT_S", 2 * WAIT_S)
-    monkeypatch.setattr(commit_client, "UNRESPONSIVE_PAUSE_S", 2 * WAIT_S)
+    monkeypatch.setattr(retry_backoff, "UNRESPONSIVE_PAUSE_LIMIT_S", 2 * WAIT_S)
+    monkeypatch.setattr(retry_backoff, "UNRESPONSIVE_PAUSE_S", 2 * WAIT_S)
     relay.responses = ["no answer, closed", "no answer, closed", "accept"]
     client, _ = start_client_with_decisions(relay)
     client.send(call_with_nonce(1, 8))
@@ -227,7 +227,7 @@
     begin_s = time.monotonic()
     client.send(call_with_nonce(1, 8))
     wait_until(lambda: len(cleared_tables(relay)) >= 6, "repetitions")
-    pauses_s = [commit_client.RETRY_PAUSE_S * (2**attempt - 1) for attempt in range(5)]
+    pauses_s = [retry_backoff.RESPONSIVE_PAUSE_S * (2**attempt - 1) for attempt in range(5)]
     assert time.monotonic() - begin_s >= sum(pauses_s)
 
 
--- a/tests/node/test_discovery_watch.py
+++ b/tests/node/test_discovery_watch.py
@@ -46,7 +46,8 @@
     unchanged = json.dumps({"generation": 1, "reset": full, "instances": []}).encode()
     watch, responses = start_watch(discovery)
     wait_until(lambda: responses, "the list")
-    discovery.forced_responses = [Response(200, unchanged)] * 11
+    # If the first poll has not arrived yet, the first of these responses is the news instead of the change.
+    discovery.forced_responses = [Response(200, unchanged)] * 12
     begin_s = time.monotonic()
     discovery.change(entry(1, "Terminating"))
     wait_until(lambda: not discovery.forced_responses, "the polls without news")
--- a/tests/node/test_retransmission.py
+++ b/tests/node/test_retransmission.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from rainpick.node import commit_client
+from rainpick.node import retry_backoff
 from tests.node.paced_director import PacedDirector
 from tests.node.paced_relay import Fleet
 from tests.node.platform_stubs import SETTINGS, StubDiscovery, entry
@@ -83,7 +83,7 @@
     spell.end()
     assert relay.peak_queue_fraction <= 1.0
     repetitions = len(spell.calls_with_commands()) - 1
-    assert repetitions <= 1 + spell.duration_s / commit_client.UNRESPONSIVE_PAUSE_S
+    assert repetitions <= 1 + spell.duration_s / retry_backoff.UNRESPONSIVE_PAUSE_S
     wait_until(fleet.uses_no_draining_server, "the withdrawals of the spell")
     fleet.longest_use_us = 0
     drain(fleet, discovery, 5)
@@ -102,4 +102,4 @@
     spell.end()
     wait_until(lambda: relay.commands("withdraw"), "the withdrawal, sent again")
     wait_until(fleet.uses_no_draining_server, "its execution")
-    assert len(spell.calls_with_commands()) <= 2 + spell.duration_s / commit_client.UNRESPONSIVE_PAUSE_S
+    assert len(spell.calls_with_commands()) <= 2 + spell.duration_s / retry_backoff.UNRESPONSIVE_PAUSE_S
