--- a/rainpick/decisions/director.py
+++ b/rainpick/decisions/director.py
@@ -76,6 +76,7 @@
         if events and type(events[0]) is model.Started:
             commands += self.start(now, events[0])
         self.fleet.clock.advance(now)
+        self.publisher.queue.advance(now)
         self.publisher.commands = commands
         for event in events:
             if handle := self.handlers.get(type(event)):
--- a/rainpick/decisions/send_queue.py
+++ b/rainpick/decisions/send_queue.py
@@ -48,6 +48,7 @@
     drains: int  # number of tables that still contain a draining or gone server
     grace_used: float  # time since the earliest pending drain or join, as a fraction of the drain grace
     takeover: bool  # whether binding all unbound proxies takes a large part of the send window
+    silent_s: float = 0.0  # seconds without an acknowledgement although lines wait; 0 if none wait
 
 
 class Reply(NamedTuple):
@@ -71,6 +72,16 @@
         self.transmitted = 0  # number of lines of the total that are known to have left the channel
         self.planned: float = 0  # number of lines of the reply that is being composed
         self.replies: dict[Hashable, Reply] = {}  # by nonce, the newest last
+        self.now = 0  # time of the current step, in microseconds
+        self.progress_us = 0  # when a line was acknowledged last, or when lines began to wait
+
+    def advance(self, now: int) -> None:
+        """Set the time of a new step, in microseconds."""
+        self.now = now
+
+    def silent_us(self) -> int:
+        """Return the time without an acknowledgement although lines wait; 0 if none wait."""
+        return self.now - self.progress_us if self.waiting else 0
 
     def backlog(self) -> int:
         """Return the number of lines still in the channel, as far as acknowledgements show."""
@@ -109,6 +120,8 @@
 
     def write(self, nonce: Hashable, lines: int) -> None:
         """Record that the messages of a reply, which contain ``lines`` lines, have been written."""
+        if not self.waiting:
+            self.progress_us = self.now
         self.replies.pop(nonce, None)
         self.replies[nonce] = Reply(self.total, 0)
         self.total += lines
@@ -154,6 +167,7 @@
         channel.
         """
         self.waiting -= lines
+        self.progress_us = self.now
         if reply := self.replies.get(nonce):
             reply = self.replies[nonce] = Reply(reply.start, reply.acknowledged + lines)
             self.transmitted = min(self.total, max(self.transmitted, reply.start + reply.acknowledged))
--- a/rainpick/decisions/withdrawals.py
+++ b/rainpick/decisions/withdrawals.py
@@ -181,4 +181,5 @@
             drains=len(terminating),
             grace_used=(now - min(since_us, default=now)) / self.fleet.settings.drain_grace_us,
             takeover=self.is_takeover,
+            silent_s=queue.silent_us() / 1e6,
         )
--- a/rainpick/node/commit_client.py
+++ b/rainpick/node/commit_client.py
@@ -79,9 +79,10 @@
         self.part_limit: int | None = None  # maximum commands per part while an invalid command is located
         # The keys appear in the log's ``status`` lines. "again" counts calls without a valid response,
         # "probes" the empty calls after them, "dials" connections, "orders" accepted commands, "busy"
-        # rejections of whole calls and "refused" rejections of single commands.
+        # rejections of whole calls, "refused" rejections of single commands, and "splits" the calls of which
+        # another part had to be sent.
         self.counts = dict.fromkeys(
-            ("calls", "orders", "again", "busy", "refused", "dials", "merged", "probes"), 0
+            ("calls", "orders", "again", "busy", "refused", "dials", "merged", "probes", "splits"), 0
         )
 
     # Methods for other threads
@@ -238,6 +239,7 @@
 
     def report_split(self, part: CommitCall, accepted: int, remaining: CommitCall) -> None:
         """Report the proxies that are sent another message, because they are concerned by both parts."""
+        self.counts["splits"] += 1
         if part.nonce is None:
             return
         proxies = proxies_of_both(part.commands[: max(0, accepted - 1)], remaining.commands)
--- a/rainpick/node/relay_subscription.py
+++ b/rainpick/node/relay_subscription.py
@@ -100,7 +100,8 @@
             with sock:
                 self.follow(sock, stream)
         except Exception as error:  # noqa: BLE001 - any error is handled by opening another stream
-            log.warning("relay notifications interrupted", reason=str(error) or type(error).__name__)
+            reason = str(error) or type(error).__name__
+            log.warning("relay notifications interrupted", reason=reason, stream=stream)
         finally:
             self.publish([StreamClosed(stream)])
             time.sleep(RECONNECT_PAUSE_S)  # delays the next stream if this one was the newest
@@ -130,6 +131,7 @@
                     check_subscribed(line)
                     subscribed = True
                     self.streams += 1
+                    log.info("relay notifications subscribed", stream=stream)
                     notifications.append(StreamOpened(stream))
             self.publish(notifications)
 
