--- a/tests/node/paced_director.py
+++ b/tests/node/paced_director.py
@@ -17,19 +17,29 @@
     def __init__(self, folder, name, fleet, discovery, settings):
         self.relay = PacedRelay(fleet, settings["domain"])
         listen = "127.0.0.1", free_ports(1)[0]
-        path, self.log = folder / f"{name}.json", folder / f"{name}.log"
+        self.path, self.log = folder / f"{name}.json", folder / f"{name}.log"
         known = {"generation": 0, "reset": True, "instances": discovery.versions[0]}
         tree = configuration_tree(
             listen, discovery.address, self.relay.address, known=known, settings=settings
         )
-        path.write_text(json.dumps(tree | {"name": name}))
+        self.path.write_text(json.dumps(tree | {"name": name}))
+        self.listen = listen
+        self.process = self.start()
+
+    def start(self):
+        """Start the process."""
         with self.log.open("ab") as log:
-            self.process = subprocess.Popen(
+            return subprocess.Popen(
                 [sys.executable, "-m", "rainpick.node"],
                 stderr=log,
-                env=os.environ | {"PROXY_CONFIG": str(path)},
+                env=os.environ | {"PROXY_CONFIG": str(self.path)},
             )
-        self.listen = listen
+
+    def kill(self):
+        """End the process with SIGKILL; what it ordered is lost."""
+        self.process.kill()
+        self.process.wait()
+        self.relay.restart()
 
     def responds_to_heartbeat(self):
         try:
--- a/tests/node/paced_relay.py
+++ b/tests/node/paced_relay.py
@@ -95,6 +95,7 @@
         self.closed = False
         threading.Thread(target=self.deliver, daemon=True).start()
         super().__init__()
+        self.default_response = self.first_rejected_command
 
     @property
     def peak_queue_fraction(self) -> float:
@@ -108,6 +109,35 @@
             self.channel.join(proxy, state)
         self.attach(proxy, state.zone, proxy not in self.fleet.bound)
 
+    def leave_proxy(self, proxy: int) -> None:
+        """End the stream of a proxy; its notice is sent by ``announce_leave``."""
+        with self.lock, self.fleet.lock:
+            self.channel.leave(proxy)
+            self.deliveries = [entry for entry in self.deliveries if entry[2].proxy != proxy]
+            heapq.heapify(self.deliveries)
+
+    def announce_leave(self, proxy: int) -> None:
+        """Send the notice that a proxy has left."""
+        self.notify("detach", node=proxy)
+
+    def first_rejected_command(self, commands: list[dict[str, Any]]) -> int:
+        """Return the number of commands before the first bind of a proxy that is not joined."""
+        joined = self.channel.joined
+        positions = (
+            position
+            for position, command in enumerate(commands)
+            if command["verb"] == "bind" and command["node"] not in joined
+        )
+        return next(positions, len(commands))
+
+    def restart(self) -> None:
+        """Forget what the director ordered, as when its process has ended; no proxy is joined any more."""
+        with self.lock, self.fleet.lock:
+            previous = self.channel
+            self.channel = Channel(previous.lines_per_s, previous.head_lines, previous.delivery_delay_us)
+            self.deliveries.clear()
+            self.joined.clear()
+
     def execute(self, accepted: list[dict[str, Any]]) -> None:
         commands = [parse_command(fields) for fields in accepted]
         with self.lock, self.fleet.lock:
--- a/tests/node/stub_relay.py
+++ b/tests/node/stub_relay.py
@@ -82,9 +82,8 @@
 
     def subscribe(self, sock, number):
         """Accept a subscription, list the joined proxies, and start to send pings."""
-        self.write(sock, {"id": number, "result": True})
-        for params in list(self.joined.values()):
-            self.write(sock, {"method": "attach", "params": params})
+        listing = [{"method": "attach", "params": params} for params in list(self.joined.values())]
+        self.write(sock, {"id": number, "result": True}, *listing)
         self.subscribers.append(sock)
         threading.Thread(target=self.send_pings, args=(sock,), daemon=True).start()
 
@@ -123,18 +122,23 @@
         if response in ("no answer, closed", "half an answer, closed"):
             sock.shutdown(socket.SHUT_RDWR)
 
-    def write(self, sock, message):
-        """Send a JSON-RPC message as a line."""
-        sock.sendall(json.dumps({"jsonrpc": "2.0"} | message).encode() + b"\n")
+    def write(self, sock, *messages):
+        """Send JSON-RPC messages at once, each as a line."""
+        lines = [json.dumps({"jsonrpc": "2.0"} | message) + "\n" for message in messages]
+        sock.sendall("".join(lines).encode())
 
     def send_pings(self, sock):
-        """Send pings to a subscriber until its connection ends."""
+        """Send pings to a subscriber until its connection ends or it is muted."""
         with contextlib.suppress(OSError):
-            while True:
+            while sock in self.subscribers:
                 if not self.silent:
                     self.write(sock, {"method": "ping"})
                 time.sleep(self.ping_s)
 
+    def mute_subscribers(self):
+        """Send nothing more to the present subscribers; their connections stay open."""
+        self.subscribers.clear()
+
     def notify(self, method, **params):
         """Send a notification to all subscribers."""
         if method == "attach":
--- a/tests/takeover/channel.py
+++ b/tests/takeover/channel.py
@@ -61,6 +61,13 @@
     def join(self, proxy: int, proxy_tables: ProxyTables) -> None:
         self.joined[proxy] = proxy_tables
 
+    def leave(self, proxy: int) -> None:
+        """Remove a proxy; its messages in the channel are lost."""
+        self.joined.pop(proxy, None)
+        table = self.bound.pop(proxy, None)
+        if table is not None:
+            self.proxies[table].discard(proxy)
+
     def waiting(self, now: float) -> float:
         """Return the number of lines that have not been sent yet."""
         return max(0.0, self.idle_us - now) * self.lines_per_s / 1e6
