--- a/tests/node/test_stalled_channel.py
+++ b/tests/node/test_stalled_channel.py
@@ -91,7 +91,7 @@
 
 
 def test_acknowledgements_lost_with_a_silent_stream_do_not_stop_the_channel(director, fleet, discovery):
-    """Guards against lines that are counted for good since their acknowledgements came while none were read."""
+    """Guards against lines that are counted for good, since their acknowledgements were not received."""
     relay = director.relay
     join(director, range(PROXIES))
     wait_until(lambda: len(fleet.bound) >= BOUND_BEFORE_SILENCE, "the first bindings")
