--- a/tests/node/stub_relay.py
+++ b/tests/node/stub_relay.py
@@ -59,6 +59,7 @@
         self.joined = {}  # parameters of ``attach`` by proxy
         self.accepted = []  # accepted commands
         self.calls = []  # behaviour and commands of each call
+        self.listing_lock = threading.Lock()  # a join is either in a listing or sent after it
         self.subscribers = []
         self.silent = False  # whether to stop sending pings
         super().__init__()
@@ -82,9 +83,10 @@
 
     def subscribe(self, sock, number):
         """Accept a subscription, list the joined proxies, and start to send pings."""
-        listing = [{"method": "attach", "params": params} for params in list(self.joined.values())]
-        self.write(sock, {"id": number, "result": True}, *listing)
-        self.subscribers.append(sock)
+        with self.listing_lock:
+            listing = [{"method": "attach", "params": params} for params in self.joined.values()]
+            self.write(sock, {"id": number, "result": True}, *listing)
+            self.subscribers.append(sock)
         threading.Thread(target=self.send_pings, args=(sock,), daemon=True).start()
 
     def commit(self, sock, number, commands):
@@ -141,11 +143,13 @@
 
     def notify(self, method, **params):
         """Send a notification to all subscribers."""
-        if method == "attach":
-            self.joined[params["node"]] = params
-        elif method == "detach":
-            self.joined.pop(params["node"], None)
-        for sock in list(self.subscribers):
+        with self.listing_lock:
+            if method == "attach":
+                self.joined[params["node"]] = params
+            elif method == "detach":
+                self.joined.pop(params["node"], None)
+            subscribers = list(self.subscribers)
+        for sock in subscribers:
             with contextlib.suppress(OSError):
                 self.write(sock, {"method": method, "params": params})
 
