Expect one acknowledgement of proxies that only the later part of a split call binds

Cause: when the relay rejects the bind of a proxy that has left, the rest of the call is sent in another part. The client reported "the proxies of both parts", but where one part set up tables and the other only bound proxies, it named all of the latter, and the decisions expected two acknowledgements of each. They get one message. Their binds stayed counted, the send window was full, nothing was written, so nothing newer was acknowledged. Only a director that has no tables yet sends such a call: after a restart, with many joins and proxies that have moved on.

Ruled out: lost notifications (all proxies are unbound then), a slow channel (the count would fall), calls stuck in the client (calls went through).

Change: the client reports what each part reaches (proxies bound, tables changed, any proxy); a new decision module compares that with the tables. Two acknowledgements are expected only of proxies that both parts surely reach. Parts that are split for their size no longer count a message to each proxy of the reply. The bind that was rejected is reported, too: its lines are no longer counted until the notice that the proxy has left.

The tests of the replaced function and event are replaced by tests of the new ones, which check the proxies that are counted one by one.

--- a/rainpick/decisions/director.py
+++ b/rainpick/decisions/director.py
@@ -11,7 +11,8 @@
 - ``admission``: limits the requests that proxies admit under congestion;
 - ``withdrawals``, ``binding``, ``weight_updates``, ``publisher``, ``send_queue``: determine what is published
   and when;
-- ``retransmission``: determines when an unconfirmed call is sent again.
+- ``retransmission``: determines when an unconfirmed call is sent again;
+- ``split_calls``: counts the messages of calls that the relay executes in parts.
 """
 
 from __future__ import annotations
@@ -33,11 +34,12 @@
 from rainpick.decisions.overload import OverloadProtection
 from rainpick.decisions.proxy_membership import ProxyMembership
 from rainpick.decisions.publisher import Publisher
-from rainpick.decisions.retransmission import CallSplit, RetransmissionRequested, Retransmissions
+from rainpick.decisions.retransmission import RetransmissionRequested, Retransmissions
 from rainpick.decisions.send_queue import ChannelState
 from rainpick.decisions.servers import ServerState
 from rainpick.decisions.settings import TICK_US, UPDATE_INTERVAL_US, read_settings
 from rainpick.decisions.slow_start import Conditions, SlowStart
+from rainpick.decisions.split_calls import BindRejected, CallSplit, SplitCalls
 from rainpick.decisions.table_assignment import TableAssignment
 from rainpick.decisions.weight_updates import WeightUpdates, populated_tables
 from rainpick.decisions.withdrawals import Withdrawals
@@ -62,6 +64,7 @@
     binding: Binding
     weight_updates: WeightUpdates
     retransmissions: Retransmissions
+    split_calls: SplitCalls
     endpoint_list: EndpointList
     proxy_membership: ProxyMembership
     key_ranges: KeyRanges
@@ -112,6 +115,7 @@
         self.binding = Binding(fleet, self.assignment, self.withdrawals, self.publisher)
         self.weight_updates = WeightUpdates(fleet, self.assignment, self.publisher)
         self.retransmissions = Retransmissions(fleet, self.publisher)
+        self.split_calls = SplitCalls(fleet, self.publisher)
         self.endpoint_list = EndpointList(fleet)
         self.proxy_membership = ProxyMembership(fleet, self.assignment, self.publisher.queue)
         self.key_ranges = KeyRanges(fleet)
@@ -130,7 +134,8 @@
             model.ProxyJoined: self.proxy_joined,
             model.ProxyLeft: self.proxy_membership.left,
             model.Acknowledged: self.publisher.acknowledged,
-            CallSplit: self.retransmissions.split,
+            BindRejected: self.split_calls.bind_rejected,
+            CallSplit: self.split_calls.split,
             RetransmissionRequested: self.retransmissions.requested,
             model.Retransmitted: self.retransmitted,
             model.ServerLoadReport: self.server_reported,
--- a/rainpick/decisions/proxies.py
+++ b/rainpick/decisions/proxies.py
@@ -30,6 +30,7 @@
         self.group = group
         self.joined_us = now
         self.requests: dict[int, SlidingWindow] = {}  # by route: requests, report intervals in microseconds
+        self.former_table: int | None = None  # table that it may still be bound to, if it rejoined unnoticed
         self.unacknowledged: deque[SentMessage] = deque()
         self.message_tokens = 1e9  # see MessageLimit; reduced to the burst size when it is first read
         self.tokens_filled_us = now
@@ -37,12 +38,18 @@
     def inherit(self, previous: ProxyState) -> None:
         """Copy the message state from before the proxy rejoined without a notice that it had left.
 
-        Its earlier messages may still be in the channel.
+        Its earlier messages may still be in the channel, and it may still be bound to its table.
         """
+        self.former_table = previous.former_table if previous.table is None else previous.table
         self.unacknowledged = previous.unacknowledged
         self.message_tokens = previous.message_tokens
         self.tokens_filled_us = previous.tokens_filled_us
 
+    @property
+    def table(self) -> int | None:
+        """The number of the table that the proxy is bound to; None if it is unbound."""
+        return self.group.table_number
+
     def insert_message(self, previous_nonce: int, message: SentMessage) -> None:
         """Add a message that is sent right after the one with ``previous_nonce``, before any newer one.
 
@@ -95,9 +102,11 @@
     """Proxies that receive the same commands.
 
     ``pending_lines`` is the number of lines that the current step has written to each proxy of the group so
-    far, without the message head.
+    far, without the message head. ``table_number`` is the table that the proxies are bound to, or None.
     """
 
+    table_number: int | None = None
+
     def __init__(self) -> None:
         self.proxies: dict[int, ProxyState] = {}
         self.pending_lines = 0
--- a/rainpick/decisions/retransmission.py
+++ b/rainpick/decisions/retransmission.py
@@ -36,18 +36,6 @@
     replies: tuple[int, ...]
 
 
-class CallSplit(NamedTuple):
-    """Event: the relay executes a call in two parts, since it rejected a command.
-
-    Each of ``proxies`` is sent a message for each part; None: all proxies of ``replies``, which are the
-    nonces of all replies with commands in the call.
-    """
-
-    nonce: int
-    replies: tuple[int, ...]
-    proxies: frozenset[int] | None
-
-
 class Retransmit(NamedTuple):
     """Command: send the call with ``previous_nonce`` again, as requested, and with ``nonce`` instead.
 
@@ -86,18 +74,6 @@
         """Remember the call that waits to be sent again."""
         self.request, self.requested_us = event, self.fleet.clock.now
 
-    def split(self, event: CallSplit) -> None:
-        """Count the second message to each proxy that both parts of a call concern.
-
-        If it is not known which proxies the second part reaches, no second acknowledgement is expected: one
-        that never comes would leave the lines of the message counted.
-        """
-        if event.proxies is None:
-            proxies = self.publisher.retransmission_costs(event.replies)
-            self.publisher.count_second_messages(event.nonce, proxies, acknowledgements=0)
-        else:
-            self.publisher.count_second_messages(event.nonce, event.proxies, acknowledgements=1)
-
     def publish(self) -> None:
         """Order the retransmission of the waiting call if the limits allow it."""
         self.expire()
--- a/rainpick/decisions/tables.py
+++ b/rainpick/decisions/tables.py
@@ -10,7 +10,7 @@
 
     def __init__(self, number: int, zone: int | None):
         super().__init__()
-        self.number = number
+        self.number = self.table_number = number
         self.zone = zone
         self.used = False  # whether any proxy has been bound to the table or is to be bound to it
         self.published_admission: dict[int, float] = {}  # published admission rate by route
--- a/rainpick/director/stepper.py
+++ b/rainpick/director/stepper.py
@@ -8,10 +8,12 @@
 
 from rainpick import model
 from rainpick.decisions.director import Director
-from rainpick.decisions.retransmission import CallSplit, RetransmissionRequested, Retransmit
+from rainpick.decisions.retransmission import RetransmissionRequested, Retransmit
+from rainpick.decisions.split_calls import BindRejected, CallSplit
 
 Event = (
-    CallSplit
+    BindRejected
+    | CallSplit
     | model.Acknowledged
     | model.EndpointUpdate
     | model.KeyRangeAssigned
--- a/rainpick/node/commit_calls.py
+++ b/rainpick/node/commit_calls.py
@@ -6,6 +6,7 @@
 from typing import Any, NamedTuple
 
 from rainpick import model
+from rainpick.decisions.split_calls import Recipients
 from rainpick.node.command_rendering import TableCommand, render_command
 
 PART_SIZE_LIMIT = 58_000  # bytes of a call's encoded commands; the relay accepts 60,000 for the whole call
@@ -98,13 +99,18 @@
 
 
 class SplitCall(NamedTuple):
-    """The commands of the call with this nonce are executed in two parts, since the relay rejected a command.
+    """The ``first`` commands of the call with this nonce were executed; the ``later`` ones are sent again."""
 
-    ``proxies`` are sent a message for each part; None: all proxies of the call.
-    """
+    nonce: int
+    first: Recipients
+    later: Recipients
+
+
+class RejectedBind(NamedTuple):
+    """The relay rejected the bind of a proxy in the call with this nonce, as the proxy has left."""
 
     nonce: int
-    proxies: frozenset[int] | None
+    proxy: int
 
 
 class Retransmission(NamedTuple):
@@ -126,24 +132,6 @@
     return CommitCall(acknowledgement, tuple(others)) if others or acknowledgement is not None else None
 
 
-def concerned_proxies(commands: Iterable[TableCommand]) -> frozenset[int] | None:
-    """Return the proxies that the commands bind; None if a command concerns the proxies of whole tables."""
-    proxies = set()
-    for command in commands:
-        if not isinstance(command, model.BindProxy):
-            return None
-        proxies.add(command.proxy)
-    return frozenset(proxies)
-
-
-def proxies_of_both(first: Iterable[TableCommand], second: Iterable[TableCommand]) -> frozenset[int] | None:
-    """Return the proxies that may be concerned by both parts of a call; None if these may be all proxies."""
-    first_proxies, second_proxies = concerned_proxies(first), concerned_proxies(second)
-    if first_proxies is None or second_proxies is None:
-        return second_proxies if first_proxies is None else first_proxies
-    return first_proxies & second_proxies
-
-
 def merge_calls(calls: Sequence[CommitCall]) -> tuple[list[CommitCall], MergedNonces | None]:
     """Merge unsent calls into one call, or into two, the first of which has only withdrawals.
 
--- a/rainpick/node/commit_client.py
+++ b/rainpick/node/commit_client.py
@@ -13,15 +13,18 @@
 import time
 from collections.abc import Callable, Sequence
 from enum import Enum
+from typing import TypeAlias
 
+from rainpick import model
+from rainpick.decisions.split_calls import recipients
 from rainpick.node.commit_calls import (
     CommitCall,
     MergedNonces,
+    RejectedBind,
     Retransmission,
     SplitCall,
     UnconfirmedCall,
     merge_calls,
-    proxies_of_both,
 )
 from rainpick.node.commit_connection import CommitConnection, UnconfirmedCallError
 from rainpick.node.commit_responses import BUSY, Accepted, Rejected
@@ -34,6 +37,8 @@
 KEEP_ALIVE_S = 1.0  # idle time after which an empty call is sent, so that the relay keeps the connection open
 REJECTION_LIMIT = 5  # non-BUSY rejections of a call before it is halved or, if it has one command, skipped
 
+ClientNotification: TypeAlias = MergedNonces | RejectedBind | SplitCall | UnconfirmedCall
+
 KEEP_ALIVE_CALL = CommitCall(None, ())
 
 
@@ -57,14 +62,15 @@
 
     Calls that are queued while another call is in progress or the relay is unreachable are merged, see
     ``merge_calls``; an unconfirmed call is merged once it may be sent again. If the calls have nonces,
-    ``notify`` receives a ``MergedNonces`` for merged calls and a ``SplitCall`` for each further part of one.
+    ``notify`` receives a ``MergedNonces`` for merged calls, a ``SplitCall`` for each further part of one and
+    a ``RejectedBind`` for each rejected bind.
     """
 
     def __init__(
         self,
         address: SocketAddress,
         routes: Sequence[str],
-        notify: Callable[[MergedNonces | SplitCall | UnconfirmedCall], None],
+        notify: Callable[[ClientNotification], None],
     ):
         self.address = address
         self.notify = notify
@@ -238,13 +244,14 @@
         return remaining
 
     def report_split(self, part: CommitCall, accepted: int, remaining: CommitCall) -> None:
-        """Report the proxies that are sent another message, because they are concerned by both parts."""
+        """Report the recipients of both parts: proxies that are among both are sent another message."""
         self.counts["splits"] += 1
         if part.nonce is None:
             return
-        proxies = proxies_of_both(part.commands[: max(0, accepted - 1)], remaining.commands)
-        if proxies is None or proxies:
-            self.notify(SplitCall(part.nonce, proxies))
+        first = recipients(part.commands[: max(0, accepted - 1)])
+        later = recipients(remaining.commands)
+        if first.may_overlap(later):
+            self.notify(SplitCall(part.nonce, first, later))
 
     def handle_unconfirmed(self, part: CommitCall, error: UnconfirmedCallError) -> None:
         """Close the connection, and hold the call back until its retransmission is due and allowed."""
@@ -289,10 +296,13 @@
         self.counts["orders"] += accepted
         if accepted < part.size:
             self.counts["refused"] += 1
+            rejected = part.wire_command(accepted)
             log.warning(
                 "command rejected",
                 position=accepted,
                 commands=part.size,
                 nonce=part.nonce,
-                command=str(part.wire_command(accepted)),
+                command=str(rejected),
             )
+            if isinstance(rejected, model.BindProxy) and part.nonce is not None:
+                self.notify(RejectedBind(part.nonce, rejected.proxy))
--- a/rainpick/node/event_loop.py
+++ b/rainpick/node/event_loop.py
@@ -8,11 +8,19 @@
 
 from rainpick import model
 from rainpick.decisions.director import Director
-from rainpick.decisions.retransmission import CallSplit, RetransmissionRequested, Retransmit
+from rainpick.decisions.retransmission import RetransmissionRequested, Retransmit
+from rainpick.decisions.split_calls import BindRejected, CallSplit
 from rainpick.director.stepper import Stepper
 from rainpick.node.channel_monitor import OBSERVATION_PERIOD_US, ChannelMonitor, rounded
 from rainpick.node.clock import Clock
-from rainpick.node.commit_calls import CommitCall, MergedNonces, Retransmission, SplitCall, commit_call
+from rainpick.node.commit_calls import (
+    CommitCall,
+    MergedNonces,
+    RejectedBind,
+    Retransmission,
+    SplitCall,
+    commit_call,
+)
 from rainpick.node.configuration import Configuration
 from rainpick.node.endpoint_discovery import DiscoveryResponse
 from rainpick.node.endpoint_list import EndpointList
@@ -99,8 +107,10 @@
         elif isinstance(notification, MergedNonces):
             self.membership.merge_nonces(notification)
         elif isinstance(notification, SplitCall):
-            nonce, proxies = notification
-            events.append(CallSplit(nonce, self.membership.replies(nonce), proxies))
+            nonce, first, later = notification
+            events.append(CallSplit(nonce, self.membership.replies(nonce), first, later))
+        elif isinstance(notification, RejectedBind):
+            events.append(BindRejected(self.membership.replies(notification.nonce), notification.proxy))
         else:
             replies = self.membership.replies(notification.nonce)
             events.append(RetransmissionRequested(notification.nonce, replies))
--- a/rainpick/node/mailbox.py
+++ b/rainpick/node/mailbox.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple, TypeAlias
 
-from rainpick.node.commit_calls import MergedNonces, SplitCall, UnconfirmedCall
+from rainpick.node.commit_calls import MergedNonces, RejectedBind, SplitCall, UnconfirmedCall
 from rainpick.node.endpoint_discovery import DiscoveryResponse
 from rainpick.node.load_report_parsing import LoadReport
 from rainpick.node.proxy_membership import StreamClosed, StreamEvent, StreamOpened
@@ -16,7 +16,14 @@
 NOTIFICATION_LIMIT = 16_384
 
 Notification: TypeAlias = (
-    DiscoveryResponse | StreamOpened | StreamEvent | StreamClosed | MergedNonces | SplitCall | UnconfirmedCall
+    DiscoveryResponse
+    | StreamOpened
+    | StreamEvent
+    | StreamClosed
+    | MergedNonces
+    | RejectedBind
+    | SplitCall
+    | UnconfirmedCall
 )
 
 
--- a/tests/decisions/test_retransmission.py
+++ b/tests/decisions/test_retransmission.py
@@ -15,7 +15,8 @@
 from rainpick import model
 from rainpick.decisions.director import Director
 from rainpick.decisions.proxies import ProxyGroup, ProxyState, SentMessage
-from rainpick.decisions.retransmission import CallSplit, RetransmissionRequested, Retransmit
+from rainpick.decisions.retransmission import RetransmissionRequested, Retransmit
+from rainpick.decisions.split_calls import NO_RECIPIENTS, CallSplit
 from rainpick.director.stepper import Stepper
 from tests.takeover.channel import Channel, ProxyTables
 
@@ -272,7 +273,8 @@
         for proxy in reached:
             self.count_message(proxy)
         if reached:
-            self.receive(CallSplit(nonce, (nonce,), None))
+            any_proxy = NO_RECIPIENTS._replace(any_proxy=True)
+            self.receive(CallSplit(nonce, (nonce,), any_proxy, any_proxy))
 
 
 def test_calls_that_are_executed_in_two_parts_keep_the_cap_on_messages():
@@ -290,7 +292,8 @@
     fleet = Fleet(8, 0, [])
     fleet.run(52_000)
     nonce = next(reversed(fleet.stepper.director.publisher.reply_costs.by_nonce))
-    fleet.receive(CallSplit(nonce, (nonce,), frozenset({3})))
+    both = NO_RECIPIENTS._replace(bound=frozenset({3}))
+    fleet.receive(CallSplit(nonce, (nonce,), both, both))
     fleet.run(1_000_000)
     bound = fleet.stepper.director.publisher.reply_costs.by_nonce[nonce][3]
     assert fleet.unacknowledged_lines() >= bound, "proxy 3 has acknowledged the first part only"
--- a/tests/node/test_commit_calls.py
+++ b/tests/node/test_commit_calls.py
@@ -5,7 +5,7 @@
 import pytest
 
 from rainpick import model
-from rainpick.node.commit_calls import CommitCall, MergedNonces, commit_call, merge_calls, proxies_of_both
+from rainpick.node.commit_calls import CommitCall, MergedNonces, commit_call, merge_calls
 from rainpick.node.commit_responses import Accepted, Rejected, parse_commit_response
 from tests.node.platform_stubs import VOCABULARY
 
@@ -76,15 +76,6 @@
     assert call.remaining(4, call) is None
 
 
-def test_the_proxies_that_both_parts_of_a_call_concern_are_known_for_binds_only():
-    weight = model.SetWeight(1, "a", 1.0)
-    binds = [model.BindProxy(1, 0, number) for number in range(3)]
-    assert proxies_of_both([weight], binds[1:]) == proxies_of_both(binds[1:], [weight]) == {1, 2}
-    assert proxies_of_both(binds[:2], binds[1:]) == {1}
-    assert proxies_of_both([], [weight]) == frozenset()
-    assert proxies_of_both([weight, *binds], [weight]) is None, "any proxy of the table"
-
-
 def test_waiting_calls_are_merged_with_the_withdrawals_first():
     """Guards against withdrawals that wait in the paced channel behind superseded weights.
 
--- a/tests/node/test_commit_client_races.py
+++ b/tests/node/test_commit_client_races.py
@@ -5,8 +5,16 @@
 import time
 
 from rainpick import model
+from rainpick.decisions.split_calls import NO_RECIPIENTS
 from rainpick.node import commit_client, commit_connection, retry_backoff
-from rainpick.node.commit_calls import MergedNonces, Retransmission, SplitCall, UnconfirmedCall, commit_call
+from rainpick.node.commit_calls import (
+    MergedNonces,
+    RejectedBind,
+    Retransmission,
+    SplitCall,
+    UnconfirmedCall,
+    commit_call,
+)
 from rainpick.node.commit_client import CommitClient
 from tests.node.platform_stubs import VOCABULARY
 from tests.node.stub_relay import StubRelay, cleared_tables
@@ -175,7 +183,10 @@
     request = model.RequestAcknowledgement(7, False)
     client.send(commit_call([model.SetWithdrawn("s-1", True), *binds, request]))
     wait_until(lambda: client.counts["calls"] == 2, "both parts")
-    assert notifications == [SplitCall(7, frozenset({5, 6}))]
+    assert notifications == [
+        RejectedBind(7, 4),
+        SplitCall(7, NO_RECIPIENTS._replace(any_proxy=True), NO_RECIPIENTS._replace(bound=frozenset({5, 6}))),
+    ]
 
 
 def test_parts_that_concern_different_proxies_are_no_split(relay):
@@ -184,7 +195,7 @@
     binds = [model.BindProxy(1, model.ALL_ROUTES, proxy) for proxy in (4, 5, 6)]
     client.send(commit_call([*binds, model.RequestAcknowledgement(7, False)]))
     wait_until(lambda: client.counts["calls"] == 2, "both parts")
-    assert notifications == []
+    assert notifications == [RejectedBind(7, 5)]
 
 
 def test_calls_are_repeated_with_growing_pauses_while_the_relay_answers_no_call(relay):
--- a/tests/node/test_event_loop.py
+++ b/tests/node/test_event_loop.py
@@ -5,10 +5,18 @@
 
 from rainpick import model
 from rainpick.decisions.director import Director
-from rainpick.decisions.retransmission import CallSplit, RetransmissionRequested, Retransmit
+from rainpick.decisions.retransmission import RetransmissionRequested, Retransmit
 from rainpick.decisions.send_queue import ChannelState
+from rainpick.decisions.split_calls import NO_RECIPIENTS, BindRejected, CallSplit
 from rainpick.node.clock import Clock
-from rainpick.node.commit_calls import CommitCall, MergedNonces, Retransmission, SplitCall, UnconfirmedCall
+from rainpick.node.commit_calls import (
+    CommitCall,
+    MergedNonces,
+    RejectedBind,
+    Retransmission,
+    SplitCall,
+    UnconfirmedCall,
+)
 from rainpick.node.configuration import read_configuration
 from rainpick.node.endpoint_discovery import parse_discovery_response
 from rainpick.node.event_loop import EventLoop
@@ -184,8 +192,15 @@
 
 def test_a_split_call_is_reported_to_the_decisions_with_its_replies(tmp_path):
     loop, decisions, _ = make_loop(tmp_path)
-    loop.process_batch([MergedNonces(7, (5,)), SplitCall(7, None), SplitCall(9, frozenset({3}))], [])
-    assert decisions.events[2:] == [CallSplit(7, (5, 7), None), CallSplit(9, (9,), frozenset({3}))]
+    first, later = NO_RECIPIENTS._replace(any_proxy=True), NO_RECIPIENTS._replace(bound=frozenset({3}))
+    loop.process_batch([MergedNonces(7, (5,)), SplitCall(7, first, later), SplitCall(9, later, first)], [])
+    assert decisions.events[-2:] == [CallSplit(7, (5, 7), first, later), CallSplit(9, (9,), later, first)]
+
+
+def test_a_rejected_bind_is_reported_to_the_decisions_with_all_merged_nonces(tmp_path):
+    loop, decisions, _ = make_loop(tmp_path)
+    loop.process_batch([MergedNonces(7, (5,)), RejectedBind(7, 3)], [])
+    assert decisions.events[-1:] == [BindRejected((5, 7), 3)]
 
 
 def test_an_allowed_retransmission_is_sent_and_its_nonce_acknowledges_the_previous_ones(tmp_path):
