Assume progress of the channel when acknowledgements stay away, and stop counting overdue ones

Those that come while no stream is read are lost. The window is full, nothing is written, so no new one is due. Ruled out: the relay's calls (answered), the joins after the new listing (all 400 proxies were listed and unbound).

A line whose acknowledgement is overdue is no longer counted. Neither while the client reports that calls do not reach the relay: lines held back there would arrive together.

--- a/rainpick/decisions/director.py
+++ b/rainpick/decisions/director.py
@@ -12,7 +12,7 @@
 - ``withdrawals``, ``binding``, ``weight_updates``, ``publisher``, ``send_queue``: determine what is published
   and when;
 - ``retransmission``: determines when an unconfirmed call is sent again;
-- ``split_calls``: counts the messages of calls that the relay executes in parts.
+- ``channel_progress``, ``split_calls``: correct the count of lines where acknowledgements do not.
 """
 
 from __future__ import annotations
@@ -24,6 +24,11 @@
 from rainpick.decisions.admission import AdmissionControl
 from rainpick.decisions.binding import Binding
 from rainpick.decisions.capacity import WarmCapacity
+from rainpick.decisions.channel_progress import (
+    AcknowledgementsMayBeLost,
+    TransmissionResumed,
+    TransmissionSuspended,
+)
 from rainpick.decisions.concentration import update_concentration
 from rainpick.decisions.endpoint_list import EndpointList
 from rainpick.decisions.fleet import Fleet
@@ -134,6 +139,9 @@
             model.ProxyJoined: self.proxy_joined,
             model.ProxyLeft: self.proxy_membership.left,
             model.Acknowledged: self.publisher.acknowledged,
+            AcknowledgementsMayBeLost: lambda _: self.publisher.queue.progress.assume_losses(),
+            TransmissionSuspended: lambda _: self.publisher.queue.progress.suspend(),
+            TransmissionResumed: lambda _: self.publisher.queue.progress.resume(),
             BindRejected: self.split_calls.bind_rejected,
             CallSplit: self.split_calls.split,
             RetransmissionRequested: self.retransmissions.requested,
@@ -198,6 +206,7 @@
         """
         fleet, publisher, quotas = self.fleet, self.publisher, self.publisher.quotas
         publisher.begin()
+        publisher.expire_messages()
         warm = self.warm_servers()
         self.readmit_if_all_are_ejected(warm)
         if not fleet.tables:
--- a/rainpick/decisions/proxies.py
+++ b/rainpick/decisions/proxies.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from typing import NamedTuple
 
 from rainpick.decisions.settings import DecisionSettings
@@ -93,6 +94,13 @@
                 return message.lines
         return 0
 
+    def expire_messages(self, is_overdue: Callable[[int], bool]) -> int:
+        """Remove the oldest messages while their acknowledgements are overdue; return their lines."""
+        lines = 0
+        while self.unacknowledged and is_overdue(self.unacknowledged[0].nonce):
+            lines += self.unacknowledged.popleft().lines
+        return lines
+
     def unacknowledged_lines(self) -> int:
         """Return the number of lines in unacknowledged messages."""
         return sum(message.lines for message in self.unacknowledged)
--- a/rainpick/decisions/publisher.py
+++ b/rainpick/decisions/publisher.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Iterable, Mapping, Sequence
 
+from rainpick.decisions.channel_progress import ChannelProgress
 from rainpick.decisions.fleet import Fleet
 from rainpick.decisions.proxies import MessageLimit, ProxyGroup, ProxyState, SentMessage
 from rainpick.decisions.reply_costs import ReplyCosts
@@ -30,6 +31,12 @@
 # for lines that were delivered but are not acknowledged yet.
 WINDOW_UPDATE_INTERVALS = 1.5
 WINDOW_DELIVERY_DELAYS = 2
+# Time within which the acknowledgement of a line arrives after the line has left the channel: delivery
+# delays, as some are far over the mean, and update intervals, since reading may be late on a busy machine.
+TIMEOUT_UPDATE_INTERVALS = 2
+TIMEOUT_DELIVERY_DELAYS = 4
+# Part of the queue limit that is assumed to leave the channel at the first pace without acknowledgements.
+SILENT_QUEUE_FRACTION = 0.25
 # The queue capacity for binds, ejections and weight updates is the number of lines that leave the channel
 # within QUEUE_GRACE_FRACTION of the drain grace. Weight updates fill at most UPDATE_QUEUE_FRACTION of this
 # capacity and of the send window; binds and ejections fill half of the remaining capacity as well.
@@ -58,6 +65,13 @@
     )
 
 
+def acknowledgement_timeout_us(settings: DecisionSettings) -> int:
+    """Return the time within which a line that has left the channel is acknowledged, if it ever is."""
+    return (
+        TIMEOUT_UPDATE_INTERVALS * UPDATE_INTERVAL_US + TIMEOUT_DELIVERY_DELAYS * settings.delivery_delay_us
+    )
+
+
 class Publisher:
     """Owns the send queue and the commands of the current step."""
 
@@ -68,7 +82,18 @@
         window_us = (
             WINDOW_UPDATE_INTERVALS * UPDATE_INTERVAL_US + WINDOW_DELIVERY_DELAYS * settings.delivery_delay_us
         )
-        self.queue = SendQueue(settings.channel_lines_max, window_us * settings.channel_lines_per_s / 1e6)
+        lines_per_us = settings.channel_lines_per_s / 1e6
+        self.queue = SendQueue(
+            settings.channel_lines_max,
+            window_us * lines_per_us,
+            ChannelProgress(
+                lines_per_us,
+                acknowledgement_timeout_us(settings),
+                SILENT_QUEUE_FRACTION * settings.channel_lines_max,
+            ),
+        )
+        self.expired_lines = 0  # number of lines so far whose acknowledgements were overdue
+        self.expired_us = fleet.clock.now  # when overdue messages were last looked for
         self.head_lines = settings.message_head_lines
         self.message_limit = MessageLimit(settings)
         self.nonce = 0
@@ -93,7 +118,7 @@
             lines = next((sent.lines for sent in proxy.unacknowledged if sent.nonce == nonce), 0)
             if lines:
                 proxy.unacknowledged.appendleft(SentMessage(nonce, lines))
-                self.queue.retransmit(lines)
+                self.queue.retransmit(nonce, lines)
                 proxy.message_tokens -= 1
 
     # Retransmissions
@@ -121,13 +146,24 @@
             if proxy := self.fleet.proxies.get(number):
                 proxy.split_message(nonce, self.head_lines, acknowledgements)
                 proxy.message_tokens -= 1
-                self.queue.retransmit(self.head_lines)
+                self.queue.retransmit(nonce, self.head_lines)
 
     def discard_message(self, number: int, nonce: int) -> None:
         """Stop counting the lines of a message to a proxy unless the proxy has left or acknowledged it."""
         if proxy := self.fleet.proxies.get(number):
             self.queue.forget(proxy.discard_message(nonce))
 
+    def expire_messages(self) -> None:
+        """Stop counting messages whose acknowledgements are overdue; looked for once an update interval."""
+        now = self.fleet.clock.now
+        if not self.queue.waiting or now < self.expired_us + UPDATE_INTERVAL_US:
+            return
+        self.expired_us = now
+        for proxy in self.fleet.proxies.values():
+            if lines := proxy.expire_messages(self.queue.is_overdue):
+                self.queue.forget(lines)
+                self.expired_lines += lines
+
     # The reply of the current step
 
     def begin(self) -> None:
--- a/rainpick/decisions/send_queue.py
+++ b/rainpick/decisions/send_queue.py
@@ -7,7 +7,7 @@
 Two counts are kept. ``waiting`` is the number of lines that proxies have not acknowledged. It overestimates
 the length of the queue; the rule on this length applies to it. ``backlog`` is the number of lines still in
 the channel. It is derived from the newest message that any proxy has acknowledged, so that it falls even if
-some proxies are unresponsive.
+some proxies are unresponsive. Neither depends on acknowledgements alone, see ``ChannelProgress``.
 """
 
 from __future__ import annotations
@@ -15,6 +15,8 @@
 from collections.abc import Hashable
 from typing import NamedTuple
 
+from rainpick.decisions.channel_progress import ChannelProgress
+
 REPLIES_MAX = 1_024  # replies kept; a reply is acknowledged long before this many newer ones are written
 
 
@@ -49,6 +51,8 @@
     grace_used: float  # time since the earliest pending drain or join, as a fraction of the drain grace
     takeover: bool  # whether binding all unbound proxies takes a large part of the send window
     silent_s: float = 0.0  # seconds without an acknowledgement although lines wait; 0 if none wait
+    expired: int = 0  # number of lines so far whose acknowledgements were overdue
+    suspended: bool = False  # whether calls do not reach the channel
 
 
 class Reply(NamedTuple):
@@ -56,36 +60,41 @@
 
     start: int  # number of lines written before this reply
     acknowledged: int  # number of lines of this reply that were acknowledged
+    end: int  # number of lines written up to the end of this reply
 
 
 class SendQueue:
     """Counts the lines that were written, transmitted and acknowledged.
 
     ``limit`` is the maximum number of unacknowledged lines, ``window`` the maximum number of lines written
-    ahead of transmission.
+    ahead of transmission. ``progress`` is the position up to which lines have left the channel; by default it
+    follows acknowledgements alone.
     """
 
-    def __init__(self, limit: float, window: float):
+    def __init__(self, limit: float, window: float, progress: ChannelProgress | None = None):
         self.limit, self.window = limit, min(limit, window)
+        self.progress = progress or ChannelProgress(0, 0, 0)
         self.waiting = 0  # number of lines that proxies have not acknowledged
         self.total = 0  # number of all lines written so far
-        self.transmitted = 0  # number of lines of the total that are known to have left the channel
         self.planned: float = 0  # number of lines of the reply that is being composed
         self.replies: dict[Hashable, Reply] = {}  # by nonce, the newest last
-        self.now = 0  # time of the current step, in microseconds
-        self.progress_us = 0  # when a line was acknowledged last, or when lines began to wait
 
     def advance(self, now: int) -> None:
         """Set the time of a new step, in microseconds."""
-        self.now = now
+        self.progress.advance(now, self.total)
 
     def silent_us(self) -> int:
         """Return the time without an acknowledgement although lines wait; 0 if none wait."""
-        return self.now - self.progress_us if self.waiting else 0
+        return self.progress.now - self.progress.confirmed.at_us if self.waiting else 0
+
+    def is_overdue(self, nonce: Hashable) -> bool:
+        """Return whether acknowledgements of a reply should have arrived."""
+        reply = self.replies.get(nonce)
+        return reply is None or reply.end <= self.progress.overdue_position()
 
     def backlog(self) -> int:
-        """Return the number of lines still in the channel, as far as acknowledgements show."""
-        return min(self.waiting, self.total - self.transmitted)
+        """Return the number of lines still in the channel, as far as is known or assumed."""
+        return min(self.waiting, self.total - self.progress.position)
 
     def available_lines(self) -> float:
         """Return the number of lines that may be written before the limit is reached."""
@@ -120,10 +129,10 @@
 
     def write(self, nonce: Hashable, lines: int) -> None:
         """Record that the messages of a reply, which contain ``lines`` lines, have been written."""
-        if not self.waiting:
-            self.progress_us = self.now
+        if not self.backlog():
+            self.progress.start(self.total)
         self.replies.pop(nonce, None)
-        self.replies[nonce] = Reply(self.total, 0)
+        self.replies[nonce] = Reply(self.total, 0, self.total + lines)
         self.total += lines
         self.waiting += lines
         self.planned = 0
@@ -148,17 +157,20 @@
         newer = names[position:]
         start = self.replies[newer[0]].start if newer else self.total
         replies = {name: self.replies[name] for name in names[:position]}
-        replies[nonce] = Reply(start, 0)
+        replies[nonce] = Reply(start, 0, start + lines)
         for name in newer:
-            replies[name] = self.replies[name]._replace(start=self.replies[name].start + lines)
+            reply = self.replies[name]
+            replies[name] = reply._replace(start=reply.start + lines, end=reply.end + lines)
         self.replies = replies
         self.total += lines
         self.waiting += lines
 
-    def retransmit(self, lines: int) -> None:
+    def retransmit(self, nonce: Hashable, lines: int) -> None:
         """Count more lines of a reply that was written before, sent with another message."""
         self.total += lines
         self.waiting += lines
+        if reply := self.replies.get(nonce):
+            self.replies[nonce] = reply._replace(end=self.total)
 
     def acknowledge(self, nonce: Hashable, lines: int) -> None:
         """Record that a proxy applied its message of a reply, which has ``lines`` lines.
@@ -167,10 +179,9 @@
         channel.
         """
         self.waiting -= lines
-        self.progress_us = self.now
         if reply := self.replies.get(nonce):
-            reply = self.replies[nonce] = Reply(reply.start, reply.acknowledged + lines)
-            self.transmitted = min(self.total, max(self.transmitted, reply.start + reply.acknowledged))
+            reply = self.replies[nonce] = reply._replace(acknowledged=reply.acknowledged + lines)
+            self.progress.confirm(min(self.total, reply.start + reply.acknowledged))
 
     def forget(self, lines: int) -> None:
         """Stop counting the unacknowledged lines of a proxy that has left."""
--- a/rainpick/decisions/withdrawals.py
+++ b/rainpick/decisions/withdrawals.py
@@ -182,4 +182,6 @@
             grace_used=(now - min(since_us, default=now)) / self.fleet.settings.drain_grace_us,
             takeover=self.is_takeover,
             silent_s=queue.silent_us() / 1e6,
+            expired=self.publisher.expired_lines,
+            suspended=queue.progress.suspended,
         )
--- a/rainpick/director/stepper.py
+++ b/rainpick/director/stepper.py
@@ -7,12 +7,18 @@
 from typing import Any, NamedTuple
 
 from rainpick import model
+from rainpick.decisions.channel_progress import (
+    AcknowledgementsMayBeLost,
+    TransmissionResumed,
+    TransmissionSuspended,
+)
 from rainpick.decisions.director import Director
 from rainpick.decisions.retransmission import RetransmissionRequested, Retransmit
 from rainpick.decisions.split_calls import BindRejected, CallSplit
 
 Event = (
-    BindRejected
+    AcknowledgementsMayBeLost
+    | BindRejected
     | CallSplit
     | model.Acknowledged
     | model.EndpointUpdate
@@ -29,6 +35,8 @@
     | model.ServerLoadReport
     | model.Started
     | model.TimerFired
+    | TransmissionResumed
+    | TransmissionSuspended
 )
 Command = (
     model.BindProxy
--- a/rainpick/node/commit_client.py
+++ b/rainpick/node/commit_client.py
@@ -16,6 +16,7 @@
 from typing import TypeAlias
 
 from rainpick import model
+from rainpick.decisions.channel_progress import TransmissionResumed, TransmissionSuspended
 from rainpick.decisions.split_calls import recipients
 from rainpick.node.commit_calls import (
     CommitCall,
@@ -37,7 +38,9 @@
 KEEP_ALIVE_S = 1.0  # idle time after which an empty call is sent, so that the relay keeps the connection open
 REJECTION_LIMIT = 5  # non-BUSY rejections of a call before it is halved or, if it has one command, skipped
 
-ClientNotification: TypeAlias = MergedNonces | RejectedBind | SplitCall | UnconfirmedCall
+ClientNotification: TypeAlias = (
+    MergedNonces | RejectedBind | SplitCall | TransmissionResumed | TransmissionSuspended | UnconfirmedCall
+)
 
 KEEP_ALIVE_CALL = CommitCall(None, ())
 
@@ -63,7 +66,8 @@
     Calls that are queued while another call is in progress or the relay is unreachable are merged, see
     ``merge_calls``; an unconfirmed call is merged once it may be sent again. If the calls have nonces,
     ``notify`` receives a ``MergedNonces`` for merged calls, a ``SplitCall`` for each further part of one and
-    a ``RejectedBind`` for each rejected bind.
+    a ``RejectedBind`` for each rejected bind. It receives a ``TransmissionSuspended`` when a call fails, and
+    a ``TransmissionResumed`` when one succeeds again.
     """
 
     def __init__(
@@ -81,6 +85,7 @@
         self.retry_state = RetryState.NONE
         self.backoff = RetryBackoff()
         self.reachable = True  # whether the last attempt to connect succeeded
+        self.suspended = False  # whether the last attempt to send a call failed
         self.rejections = 0  # rejections of the current part of a call, not counting BUSY
         self.part_limit: int | None = None  # maximum commands per part while an invalid command is located
         # The keys appear in the log's ``status`` lines. "again" counts calls without a valid response,
@@ -185,6 +190,7 @@
         try:
             self.connection.connect(address)
         except OSError as error:
+            self.suspend()
             if self.reachable:
                 self.reachable = False
                 log.warning("relay unreachable", reason=str(error))
@@ -232,6 +238,7 @@
             return call
         self.backoff.succeeded()
         if isinstance(response, Accepted):
+            self.resume()
             accepted = response.commands
         elif self.handle_rejection(part, response):
             return call
@@ -243,6 +250,18 @@
             self.report_split(part, accepted, remaining)
         return remaining
 
+    def suspend(self) -> None:
+        """Report that calls do not reach the channel, unless this has been reported."""
+        if not self.suspended:
+            self.suspended = True
+            self.notify(TransmissionSuspended())
+
+    def resume(self) -> None:
+        """Report that calls reach the channel, if it was reported that they do not."""
+        if self.suspended:
+            self.suspended = False
+            self.notify(TransmissionResumed())
+
     def report_split(self, part: CommitCall, accepted: int, remaining: CommitCall) -> None:
         """Report the recipients of both parts: proxies that are among both are sent another message."""
         self.counts["splits"] += 1
@@ -258,6 +277,7 @@
         self.counts["again"] += 1
         log.warning("commit unconfirmed, sent again", reason=str(error), commands=part.size, nonce=part.nonce)
         self.connection.close()
+        self.suspend()
         self.retry_state = RetryState.UNCONFIRMED
         self.backoff.failed(time.monotonic())
 
@@ -269,6 +289,7 @@
         that only this command is skipped.
         """
         self.counts["busy"] += 1
+        self.suspend()
         self.rejections += response.code != BUSY
         if self.rejections < REJECTION_LIMIT:
             time.sleep(RETRY_PAUSE_S)
--- a/rainpick/node/event_loop.py
+++ b/rainpick/node/event_loop.py
@@ -7,6 +7,11 @@
 from typing import Any
 
 from rainpick import model
+from rainpick.decisions.channel_progress import (
+    AcknowledgementsMayBeLost,
+    TransmissionResumed,
+    TransmissionSuspended,
+)
 from rainpick.decisions.director import Director
 from rainpick.decisions.retransmission import RetransmissionRequested, Retransmit
 from rainpick.decisions.split_calls import BindRejected, CallSplit
@@ -64,7 +69,10 @@
         self.endpoints = EndpointList(self.clock)
         self.membership = ProxyMembership()
         self.channel_monitor = ChannelMonitor()
-        self.stepper.pending_events.append(self.endpoints.apply(cached_list, model.UpdateKind.CACHED))
+        self.stepper.pending_events += (
+            AcknowledgementsMayBeLost(),
+            self.endpoints.apply(cached_list, model.UpdateKind.CACHED),
+        )
         self.last_step_us = 0  # start of the last step
         self.unknown_reports = 0  # load reports of servers that are not in the endpoint list
         self.status_due_us = self.clock() + STATUS_PERIOD_US
@@ -111,6 +119,8 @@
             events.append(CallSplit(nonce, self.membership.replies(nonce), first, later))
         elif isinstance(notification, RejectedBind):
             events.append(BindRejected(self.membership.replies(notification.nonce), notification.proxy))
+        elif isinstance(notification, TransmissionResumed | TransmissionSuspended):
+            events.append(notification)
         else:
             replies = self.membership.replies(notification.nonce)
             events.append(RetransmissionRequested(notification.nonce, replies))
--- a/rainpick/node/mailbox.py
+++ b/rainpick/node/mailbox.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple, TypeAlias
 
+from rainpick.decisions.channel_progress import TransmissionResumed, TransmissionSuspended
 from rainpick.node.commit_calls import MergedNonces, RejectedBind, SplitCall, UnconfirmedCall
 from rainpick.node.endpoint_discovery import DiscoveryResponse
 from rainpick.node.load_report_parsing import LoadReport
@@ -23,6 +24,8 @@
     | MergedNonces
     | RejectedBind
     | SplitCall
+    | TransmissionResumed
+    | TransmissionSuspended
     | UnconfirmedCall
 )
 
--- a/tests/node/test_commit_client.py
+++ b/tests/node/test_commit_client.py
@@ -5,6 +5,7 @@
 import pytest
 
 from rainpick import model
+from rainpick.decisions.channel_progress import TransmissionResumed, TransmissionSuspended
 from rainpick.node import commit_client
 from rainpick.node.commit_calls import MergedNonces, commit_call
 from rainpick.node.commit_client import CommitClient
@@ -128,5 +129,7 @@
     other = StubRelay()
     client.set_address(other.address)
     wait_until(lambda: cleared_tables(other) == [1, 2], "both calls")
-    assert len(other.calls) == 1 and notifications == [MergedNonces(6, (5,))]
+    expected = [MergedNonces(6, (5,)), TransmissionSuspended(), TransmissionResumed()]
+    wait_until(lambda: notifications == expected, "the notifications")
+    assert len(other.calls) == 1
     other.close()
--- a/tests/node/test_commit_client_races.py
+++ b/tests/node/test_commit_client_races.py
@@ -5,6 +5,7 @@
 import time
 
 from rainpick import model
+from rainpick.decisions.channel_progress import TransmissionResumed, TransmissionSuspended
 from rainpick.decisions.split_calls import NO_RECIPIENTS
 from rainpick.node import commit_client, commit_connection, retry_backoff
 from rainpick.node.commit_calls import (
@@ -142,7 +143,9 @@
     client, notifications = start_client_with_decisions(relay)
     client.send(call_with_nonce(1, 8))
     wait_until(lambda: cleared_tables(relay) == [1, 1] and client.counts["calls"] == 1, "the call, twice")
-    assert notifications == [UnconfirmedCall(8)], "a rejected call was not executed"
+    assert notifications == [TransmissionSuspended(), UnconfirmedCall(8), TransmissionResumed()], (
+        "a rejected call was not executed"
+    )
 
 
 def test_each_attempt_for_an_unconfirmed_call_has_its_own_nonce(relay):
@@ -154,7 +157,12 @@
     client.send(call_with_nonce(1, 8))
     wait_until(lambda: client.counts["calls"] == 1, "an attempt with an answer")
     assert [command["stamp"] for command in relay.commands("mark")] == [8, 108, 208]
-    assert notifications == [UnconfirmedCall(8), UnconfirmedCall(108)]
+    assert notifications == [
+        TransmissionSuspended(),
+        UnconfirmedCall(8),
+        UnconfirmedCall(108),
+        TransmissionResumed(),
+    ]
 
 
 def test_an_unconfirmed_call_waits_until_the_decisions_allow_its_retransmission(relay):
@@ -162,7 +170,10 @@
     relay.responses = ["no answer, closed"]
     client, notifications = start_client_with_decisions(relay, lambda nonce: False)
     client.send(call_with_nonce(1, 8))
-    wait_until(lambda: notifications == [UnconfirmedCall(8)], "the request for a retransmission")
+    wait_until(
+        lambda: notifications == [TransmissionSuspended(), UnconfirmedCall(8)],
+        "the request for a retransmission",
+    )
     for table in (2, 3):
         client.send(call_with_nonce(table, 7 + table))
     wait_until(lambda: MergedNonces(10, (9,)) in notifications, "the newer calls, merged")
@@ -172,7 +183,9 @@
     client.send(Retransmission(8, 108))
     wait_until(lambda: cleared_tables(relay) == [1, 1, 2, 3], "all calls")
     assert [command["stamp"] for command in relay.commands("mark")] == [8, 10]
-    assert notifications[-1] == MergedNonces(10, (108,))
+    wait_until(
+        lambda: notifications[-2:] == [MergedNonces(10, (108,)), TransmissionResumed()], "its execution"
+    )
 
 
 def test_the_proxies_that_are_sent_a_message_for_each_part_of_a_call_are_reported(relay):
--- a/tests/node/test_event_loop.py
+++ b/tests/node/test_event_loop.py
@@ -4,6 +4,7 @@
 import time
 
 from rainpick import model
+from rainpick.decisions.channel_progress import TransmissionResumed, TransmissionSuspended
 from rainpick.decisions.director import Director
 from rainpick.decisions.retransmission import RetransmissionRequested, Retransmit
 from rainpick.decisions.send_queue import ChannelState
@@ -63,7 +64,7 @@
         model.ServerLoadReport(name, 0, 5, 5, 0, 500_000, ()) for name in ("s-0001", "s-ffff")
     )
     loop.process_batch([], [unlisted, listed, model.RouteLoadReport(1, 0, 3, 0, 500_000)])
-    assert decisions.events[2:] == [listed, model.RouteLoadReport(1, 0, 3, 0, 500_000)]
+    assert decisions.events[3:] == [listed, model.RouteLoadReport(1, 0, 3, 0, 500_000)]
     assert loop.unknown_reports == 1
     loop.process_batch(
         [
@@ -184,7 +185,7 @@
 def test_an_unconfirmed_call_is_reported_to_the_decisions_with_all_merged_nonces(tmp_path):
     loop, decisions, _ = make_loop(tmp_path)
     loop.process_batch([MergedNonces(7, (5, 6)), UnconfirmedCall(7), UnconfirmedCall(9)], [])
-    assert decisions.events[2:] == [
+    assert decisions.events[3:] == [
         RetransmissionRequested(7, (5, 6, 7)),
         RetransmissionRequested(9, (9,)),
     ]
@@ -203,6 +204,12 @@
     assert decisions.events[-1:] == [BindRejected((5, 7), 3)]
 
 
+def test_whether_calls_reach_the_channel_is_reported_to_the_decisions(tmp_path):
+    loop, decisions, _ = make_loop(tmp_path)
+    loop.process_batch([TransmissionSuspended(), TransmissionResumed()], [])
+    assert decisions.events[-2:] == [TransmissionSuspended(), TransmissionResumed()]
+
+
 def test_an_allowed_retransmission_is_sent_and_its_nonce_acknowledges_the_previous_ones(tmp_path):
     """Guards against lines that stay counted: the relay acknowledges only attempts that it executed."""
     loop, decisions, sent = make_loop(tmp_path)
