Daemon: lines held back for a proxy do not count as waiting in the channel of the others

The decisions count a message as waiting until it is delivered.

Change: what is held back for a blocked proxy is acknowledged to the decisions at once, as it waits in no channel: its one merged message is paced when it is sent. A message whose delivery is not confirmed within sasp.write_stall is acknowledged, too.

The bookkeeping of sent messages has a module of its own.

--- a/rainpick/director/channel.py
+++ b/rainpick/director/channel.py
@@ -107,6 +107,14 @@
         self.lines -= message.lines + self.head_lines
         return message.nonces
 
+    def take_nonces(self, proxy: int) -> list[int]:
+        """Remove and return the nonces of the pending message of a proxy."""
+        message = self.waiting.get(proxy)
+        if message is None:
+            return []
+        nonces, message.nonces = message.nonces, []
+        return nonces
+
     def allowed_us(self, proxy: int, now: int) -> int:
         """Return the earliest time at which the limit on messages allows another message to a proxy."""
         if not self.max_messages:
--- a/rainpick/director/engine.py
+++ b/rainpick/director/engine.py
@@ -16,6 +16,7 @@
 from rainpick.director.addresses import Key
 from rainpick.director.channel import Channel, PendingMessage
 from rainpick.director.resynchronisation import Resynchronisations
+from rainpick.director.sent_messages import DeliveryTimeout, SentMessages, Transmission
 from rainpick.director.snapshots import Delta, Scale, Snapshot
 from rainpick.director.stepper import Command, Stepper
 from rainpick.director.tables import ProxyCommands, Tables
@@ -40,30 +41,6 @@
     commands: ProxyCommands | None = None  # None if the commands are unchanged or the proxy takes none
 
 
-class SentMessage(NamedTuple):
-    """A message that was sent and whose delivery is not confirmed yet."""
-
-    number: int
-    nonces: list[int]  # acknowledged to ``Director`` once the message is delivered
-    sent_us: int
-
-
-class SentMessages:
-    """The messages sent to one proxy: their number, and those whose delivery is not confirmed yet."""
-
-    __slots__ = ("count", "undelivered")
-
-    def __init__(self) -> None:
-        self.count = 0
-        self.undelivered: deque[SentMessage] = deque()
-
-    def add(self, nonces: list[int], now: int) -> int:
-        """Record a message that is sent now; return its number."""
-        self.count += 1
-        self.undelivered.append(SentMessage(self.count, nonces, now))
-        return self.count
-
-
 class Counts:
     """Counters of the engine; the status document shows them under the names of the attributes."""
 
@@ -114,6 +91,7 @@
         self.acknowledgements: list[model.Acknowledged] = []  # passed to ``Director`` in the next step
         self.acknowledgements_since_us = now  # when the oldest of ``acknowledgements`` was queued
         self.sent: dict[int, SentMessages] = {}  # messages sent, by joined proxy
+        self.delivery_timeout = DeliveryTimeout(settings.sasp.write_stall)
         self.counts = Counts()
         self.notes: deque[str] = deque(maxlen=MAX_LOG_MESSAGES)
         self.now = now
@@ -176,6 +154,24 @@
             message = sent.undelivered.popleft()
             self.acknowledge(proxy, message.nonces, self.now - message.sent_us)
 
+    def expire_deliveries(self) -> None:
+        """Acknowledge messages whose delivery was not confirmed in time.
+
+        They have left the channel. If they stayed counted, proxies whose hosts have vanished would keep the
+        channel from all others.
+        """
+        for proxy, sent, message in self.delivery_timeout.take_overdue(self.now):
+            if message.nonces and self.sent.get(proxy) is sent and message in sent.undelivered:
+                self.acknowledge(proxy, message.nonces, self.now - message.sent_us)
+                message.nonces.clear()
+
+    def send(self, proxy: int, nonces: list[int]) -> int:
+        """Record a message that is sent to a proxy now; return its number."""
+        sent = self.sent[proxy]
+        message = sent.add(nonces, self.now)
+        self.delivery_timeout.add(Transmission(proxy, sent, message))
+        return message.number
+
     def acknowledge(self, proxy: int, nonces: list[int], delay_us: int) -> None:
         """Queue ``Acknowledged`` events for these nonces; ``delay_us``: time from sending to delivery."""
         if nonces and not self.acknowledgements:
@@ -189,8 +185,7 @@
         pending message: once the reply is delivered, the nonces of that message are acknowledged.
         """
         delta = self.tables.advance(proxy)
-        number = self.sent[proxy].add(self.channel.remove(proxy), self.now)
-        return number, delta
+        return self.send(proxy, self.channel.remove(proxy)), delta
 
     def add_initial_servers(self, proxy: int, servers: Iterable[Key]) -> None:
         """Add servers that a joined proxy held before it joined, and enqueue an urgent message about them."""
@@ -219,14 +214,25 @@
             self.channel.enqueue(proxy, 1, False, None, self.now)
 
     def set_blocked(self, proxy: int, blocked: bool) -> None:
-        """Hold back the messages to a proxy that polls or can't receive them now, or release them."""
+        """Hold back the messages to a proxy that polls or can't receive them now, or release them.
+
+        What is held back does not wait in the channel. Nobody knows when the proxy will poll or read, so it
+        is acknowledged to ``Director`` at once.
+        """
         self.channel.set_blocked(proxy, blocked)
+        if blocked:
+            self.acknowledge(proxy, self.channel.take_nonces(proxy), 0)
 
     # The clock
 
     def due_us(self) -> int | None:
         """Return when ``advance`` must be called next if no further event arrives; None if never."""
-        times = [self.stepper.due_us(), self.channel.due_us(self.now), self.resynchronisations.due_us()]
+        times = [
+            self.stepper.due_us(),
+            self.channel.due_us(self.now),
+            self.resynchronisations.due_us(),
+            self.delivery_timeout.due_us(),
+        ]
         if self.stepper.pending_events:
             times.append(self.now)
         elif self.acknowledgements:
@@ -237,6 +243,7 @@
         """Pass all pending events to ``Director`` in one step, then yield the messages to send now."""
         self.now = max(self.now, now)
         self.stepper.fire_timers(self.now)
+        self.expire_deliveries()
         overdue = self.now >= self.acknowledgements_since_us + ACKNOWLEDGEMENT_DELAY_US
         if self.stepper.pending_events or self.acknowledgements and overdue:
             acknowledgements, self.acknowledgements = self.acknowledgements, []
@@ -269,7 +276,10 @@
             if is_withdrawal(command):
                 urgent.update(line_counts)
         for proxy, lines in lines_by_proxy.items():
-            self.channel.enqueue(proxy, lines, proxy in urgent, nonce, self.now)
+            blocked = proxy in self.channel.blocked
+            if blocked and nonce is not None:
+                self.acknowledge(proxy, [nonce], 0)
+            self.channel.enqueue(proxy, lines, proxy in urgent, None if blocked else nonce, self.now)
 
     def apply_command(self, command: Command) -> dict[int, int]:
         """Apply a command to the tables; return the number of changed lines by affected proxy."""
@@ -296,7 +306,7 @@
             else:
                 self.acknowledge(pending.proxy, pending.nonces, 0)
             return None
-        number = sent.add(pending.nonces, self.now)
+        number = self.send(pending.proxy, pending.nonces)
         self.channel.record_sent(pending.proxy, lines, self.now)
         self.counts.messages += 1
         self.counts.lines += lines
--- a/tests/director/test_engine.py
+++ b/tests/director/test_engine.py
@@ -276,3 +276,45 @@
     drive.run(1)
     assert [len(message.delta.lines) for _, message in drive.messages[start:]] == [4]
     assert drive.engine.channel.lines == 0
+
+
+SLOW_CHANNEL = "channel: {lines_per_s: 100, head_lines: 6, pending_lines: 400}"
+
+
+def test_proxies_that_poll_do_not_keep_the_channel_from_the_others():
+    """Guards against lines of proxies that have not polled yet: they were counted as a full channel."""
+    drive = Drive(SLOW_CHANNEL, servers=12)
+    for number in range(20):
+        drive.join(number)
+        drive.engine.set_blocked(number, True)
+    drive.join(20)
+    drive.run(6)  # an update interval for each proxy
+    assert set(drive.open_lines(20)) == set(range(12))
+    drive.update_endpoints(server(0, model.EndpointState.DRAINING))
+    drive.run(1)
+    assert 0 not in drive.open_lines(20)
+
+
+def test_proxies_that_can_receive_nothing_do_not_keep_the_channel_from_the_others():
+    """Guards against lines that were queued before the proxy's socket stalled."""
+    drive = Drive(SLOW_CHANNEL, servers=12)
+    for number in range(20):
+        drive.join(number)
+    drive.run_engine()
+    for number in range(20):
+        drive.engine.set_blocked(number, True)
+    drive.run(6)
+    channel = drive.engine.stepper.director.channel()
+    assert channel.unbound == 0 == channel.waiting
+
+
+def test_proxies_whose_hosts_have_vanished_do_not_keep_the_channel_from_the_others():
+    """Guards against messages that stay counted until TCP gives up, many minutes later."""
+    drive = Drive(SLOW_CHANNEL, servers=12)
+    for number in range(20):
+        drive.confirms_delivery[number] = False
+        drive.join(number)
+    drive.run(drive.settings.sasp.write_stall / 1e6)
+    drive.join(20, rate=100.0)
+    drive.run(2 * drive.settings.sasp.write_stall / 1e6)
+    assert set(drive.open_lines(20)) == set(range(12))
