Let small caps on messages refill: a cap of two sent each proxy one message and no other

The bucket of a cap of two held one message, kept one in reserve and refilled at 0; a cap of one counted as none.

Change: below three no message is kept in reserve, and with a cap of one messages are a window apart. The test fails for caps of one and two before and holds in virtual time, where the cap is checked at each write.

--- a/rainpick/decisions/proxies.py
+++ b/rainpick/decisions/proxies.py
@@ -11,6 +11,7 @@
 from rainpick.model import ProxyJoined
 
 BURST_FRACTION = 0.4  # fraction of the message cap that may be sent at once
+RESERVE_CAP_MIN = 3  # a message is kept in reserve from this cap on; below, it would leave none to refill
 
 
 class SentMessage(NamedTuple):
@@ -124,17 +125,20 @@
     """The cap on messages to one proxy within a time window, as a token bucket.
 
     A small burst may be sent at once; further messages are spaced evenly, so that no window of
-    ``messages_window_us`` contains more messages than the cap. One message of the cap is kept in reserve.
+    ``messages_window_us`` contains more messages than the cap. ``reserve`` messages of the cap are kept back.
     """
 
     def __init__(self, settings: DecisionSettings):
-        self.cap = settings.messages_max - 1
-        self.burst = max(1.0, BURST_FRACTION * self.cap)
-        self.tokens_per_us = (self.cap - self.burst) / settings.messages_window_us
+        self.is_unlimited = settings.messages_max <= 0
+        self.reserve = int(settings.messages_max >= RESERVE_CAP_MIN)
+        cap = settings.messages_max - self.reserve
+        self.burst = max(1.0, BURST_FRACTION * cap)
+        # With a cap of one, messages are a whole window apart.
+        self.tokens_per_us = (cap - self.burst if cap > 1 else 1.0) / settings.messages_window_us
 
     def available(self, proxy: ProxyState, now: int) -> float:
         """Return the number of messages that may be sent to a proxy now; constant if there is no cap."""
-        if self.cap <= 0:
+        if self.is_unlimited:
             return self.burst
         filled = proxy.message_tokens + (now - proxy.tokens_filled_us) * self.tokens_per_us
         proxy.message_tokens = min(self.burst, filled)
--- a/rainpick/decisions/retransmission.py
+++ b/rainpick/decisions/retransmission.py
@@ -20,9 +20,6 @@
 from rainpick.decisions.fleet import Fleet
 from rainpick.decisions.publisher import Publisher
 
-# Messages that must be available to each proxy of the call. The message limit keeps one message in reserve,
-# which a retransmission may use.
-MESSAGES_MIN = 0
 DRAIN_DELIVERY_DELAYS = 2  # delivery delays that a message and its acknowledgement take
 
 
@@ -97,9 +94,9 @@
         proxies = self.fleet.proxies
         waited_us = self.fleet.clock.now - self.requested_us
         fits = sum(costs.values()) <= self.publisher.queue.available_lines()
-        within_limit = all(
-            self.publisher.available_messages(proxies[number]) >= MESSAGES_MIN for number in costs
-        )
+        # A retransmission may use the message that the message limit keeps in reserve.
+        needed = 1 - self.publisher.message_limit.reserve
+        within_limit = all(self.publisher.available_messages(proxies[number]) >= needed for number in costs)
         return (fits or waited_us >= self.channel_drain_us) and (
             within_limit or waited_us >= self.fleet.settings.messages_window_us
         )
--- a/tests/decisions/test_retransmission.py
+++ b/tests/decisions/test_retransmission.py
@@ -8,6 +8,7 @@
 from heapq import heappop, heappush
 from itertools import count
 
+import pytest
 from hypothesis import given
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
@@ -262,6 +263,16 @@
     assert sum(publisher.retransmission_costs(replies).values()) == fleet.unacknowledged_lines()
 
 
+@pytest.mark.parametrize("cap", [1, 2, 3])
+def test_a_small_cap_on_messages_holds_and_lets_each_drain_through(cap):
+    """Guards against a cap of two that never refills, so that no proxy got a second message."""
+    fleet = Fleet(8, cap, [])
+    for number, name in enumerate(NAMES[:3]):
+        fleet.schedule(2_000_000 + number * 9_000_000, lambda name=name: fleet.drain(name))
+    fleet.run(60_000_000)
+    assert [fleet.users(name) for name in NAMES[:3]] == [0, 0, 0]
+
+
 class SplittingRelay(Fleet):
     """Executes each call in two parts, which are a message each to every proxy that the call concerns."""
 
