--- a/tests/node/paced_relay.py
+++ b/tests/node/paced_relay.py
@@ -6,9 +6,10 @@
 import heapq
 import threading
 import time
+from collections import Counter
 from collections.abc import Callable, Iterable
 from itertools import count
-from typing import Any
+from typing import Any, NamedTuple
 
 from rainpick import model
 from tests.node.stub_relay import StubRelay
@@ -19,6 +20,16 @@
 SERVERS_PER_PROXY = 5
 
 
+class TracedCall(NamedTuple):
+    """A call that was executed: when, its verbs, what it wrote to the channel, and what waits there now."""
+
+    at_s: float
+    verbs: dict[str, int]
+    messages: int
+    lines: int
+    waiting: int
+
+
 def now_us() -> int:
     return time.monotonic_ns() // 1000
 
@@ -91,6 +102,7 @@
         self.fleet, self.line_limit = fleet, domain["pendingMax"]
         self.channel = Channel(domain["linesPerS"], int(domain["head"]), LATENCY_US)
         self.lock, self.deliveries, self.delivery_numbers = threading.Condition(), [], count()
+        self.trace: list[TracedCall] = []
         self.removed: set[str] = set()  # servers withdrawn or removed from a table
         self.closed = False
         threading.Thread(target=self.deliver, daemon=True).start()
@@ -141,6 +153,7 @@
     def execute(self, accepted: list[dict[str, Any]]) -> None:
         commands = [parse_command(fields) for fields in accepted]
         with self.lock, self.fleet.lock:
+            before = self.channel.lines_sent, self.channel.messages_sent
             for due_us, delivery in self.channel.write(now_us(), commands):
                 heapq.heappush(self.deliveries, (due_us, next(self.delivery_numbers), delivery))
             for command in commands:
@@ -150,9 +163,22 @@
                     and not command.weight
                 ):
                     self.removed.add(command.server)
+            self.record(accepted, *before)
             self.lock.notify()
         super().execute(accepted)
 
+    def record(self, accepted: list[dict[str, Any]], lines_before: int, messages_before: int) -> None:
+        """Add an executed call to the trace."""
+        if accepted:
+            call = TracedCall(
+                round(time.monotonic(), 3),
+                dict(Counter(fields["verb"] for fields in accepted)),
+                self.channel.messages_sent - messages_before,
+                self.channel.lines_sent - lines_before,
+                round(self.channel.waiting(now_us())),
+            )
+            self.trace.append(call)
+
     def discard_queue(self) -> None:
         """Discard all pending deliveries, as when the director has died."""
         with self.lock:
--- a/tests/node/test_takeover.py
+++ b/tests/node/test_takeover.py
@@ -65,5 +65,6 @@
     for numbers in batches[2:]:
         drain(numbers)
     wait_until(fleet.uses_no_draining_server, "the removal of all draining servers", 4 * GRACE_S)
-    assert fleet.longest_use_s() <= GRACE_S, fleet.longest_use_s()
+    trace = "\n".join(map(str, [fleet.longest_use_s(), *survivor.relay.trace]))
+    assert fleet.longest_use_s() <= GRACE_S, trace
     assert survivor.relay.peak_queue_fraction <= 0.9
