--- a/rainpick/decisions/channel_progress.py
+++ b/rainpick/decisions/channel_progress.py
@@ -79,8 +79,12 @@
         self.confirmed = Sample(self.now, position)
 
     def confirm(self, position: int) -> None:
-        """Record that an acknowledgement shows that this position was reached."""
-        self.position = max(self.position, position)
+        """Record that an acknowledgement shows that this position was reached.
+
+        What was assumed beyond is dropped: the channel is first in, first out, so that later lines are
+        acknowledged after this one.
+        """
+        self.position = max(self.confirmed.position, position)
         self.confirmed = Sample(self.now, self.position)
 
     def suspend(self) -> None:
@@ -118,4 +122,4 @@
         """Return the position up to which acknowledgements are overdue."""
         if self.suspended or not self.samples or self.samples[0].at_us > self.now - self.timeout_us:
             return 0
-        return self.samples[0].position
+        return min(self.position, self.samples[0].position)
