--- a/rainpick/node/commit_client.py
+++ b/rainpick/node/commit_client.py
@@ -238,12 +238,12 @@
             return call
         self.backoff.succeeded()
         if isinstance(response, Accepted):
-            self.resume()
             accepted = response.commands
         elif self.handle_rejection(part, response):
             return call
         else:
             accepted = part.size  # skip the whole part as if it had been accepted
+        self.resume()
         self.handle_accepted(part, accepted)
         remaining = call.remaining(accepted, part)
         if remaining is not None and isinstance(response, Accepted):
--- a/tests/node/test_commit_client_races.py
+++ b/tests/node/test_commit_client_races.py
@@ -115,6 +115,16 @@
     assert cleared_tables(relay) == [1, 2, 3, 4, 6, 7, 8, 9]
 
 
+def test_a_call_that_is_skipped_as_rejected_leaves_no_transmission_suspended(relay):
+    """Guards against decisions that wait for good for calls to reach the channel again."""
+    relay.responses = ["syntax"] * commit_client.REJECTION_LIMIT
+    client, notifications = start_client_with_decisions(relay)
+    client.send(clear_tables(1))
+    wait_until(
+        lambda: notifications == [TransmissionSuspended(), TransmissionResumed()], "the end of the suspension"
+    )
+
+
 def call_with_nonce(table, nonce):
     """Build the call that clears a table and requests acknowledgement."""
     return commit_call([model.ClearTable(table), model.RequestAcknowledgement(nonce, False)])
