--- a/rainpick/decisions/channel_progress.py
+++ b/rainpick/decisions/channel_progress.py
@@ -37,7 +37,7 @@
     """A position, and the time from which it was known or assumed to be reached."""
 
     at_us: int
-    position: float
+    position: int
 
 
 class ChannelProgress:
@@ -118,7 +118,7 @@
         lasting = ordinary - first / SILENT_PACE_FRACTION
         return first + LASTING_SILENT_PACE_FRACTION * lasting
 
-    def overdue_position(self) -> float:
+    def overdue_position(self) -> int:
         """Return the position up to which acknowledgements are overdue."""
         if self.suspended or not self.samples or self.samples[0].at_us > self.now - self.timeout_us:
             return 0
