--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -44,3 +44,16 @@
     result = pytester.runpytest_inprocess("-p", "no:xdist")
     assert result.ret == exit_code
     result.stdout.fnmatch_lines(["KNOWN RED: test_probe.py::test_listed: a cause (issue 26)"])
+
+
+@pytest.mark.parametrize(("statement", "exit_code"), [("assert False", 0), ("pass", 0), ("1 / 0", 1)])
+def test_a_test_that_fails_in_some_runs_may_pass_and_fail_with_an_assertion_only(
+    pytester, monkeypatch, statement, exit_code
+):
+    pytester.makeconftest("from tests.conftest import pytest_collection_modifyitems, pytest_terminal_summary")
+    pytester.makepyfile(test_probe=f"def test_listed():\n    {statement}\n")
+    monkeypatch.setattr(known_red, "PATH", pytester.path / "KNOWN-RED.txt")
+    known_red.PATH.write_text("test_probe.py::test_listed; intermittent: a cause; 26")
+    result = pytester.runpytest_inprocess("-p", "no:xdist")
+    assert result.ret == exit_code
+    result.stdout.fnmatch_lines(["KNOWN RED: test_probe.py::test_listed: intermittent: a cause (issue 26)"])
