--- a/rainpick/node/commit_client.py
+++ b/rainpick/node/commit_client.py
@@ -13,23 +13,17 @@
 import time
 from collections.abc import Callable, Sequence
 from enum import Enum
-from typing import TypeAlias
 
-from rainpick import model
-from rainpick.decisions.channel_progress import TransmissionResumed, TransmissionSuspended
-from rainpick.decisions.split_calls import recipients
 from rainpick.node.commit_calls import (
     CommitCall,
-    MergedNonces,
-    RejectedBind,
     Retransmission,
-    SplitCall,
     UnconfirmedCall,
     merge_calls,
 )
 from rainpick.node.commit_connection import CommitConnection, UnconfirmedCallError
 from rainpick.node.commit_responses import BUSY, Accepted, Rejected
 from rainpick.node.configuration import SocketAddress
+from rainpick.node.execution_reports import ClientNotification, ExecutionReports
 from rainpick.node.log import log
 from rainpick.node.relay_socket import RECONNECT_PAUSE_S
 from rainpick.node.retry_backoff import RetryBackoff
@@ -38,10 +32,6 @@
 KEEP_ALIVE_S = 1.0  # idle time after which an empty call is sent, so that the relay keeps the connection open
 REJECTION_LIMIT = 5  # non-BUSY rejections of a call before it is halved or, if it has one command, skipped
 
-ClientNotification: TypeAlias = (
-    MergedNonces | RejectedBind | SplitCall | TransmissionResumed | TransmissionSuspended | UnconfirmedCall
-)
-
 KEEP_ALIVE_CALL = CommitCall(None, ())
 
 
@@ -78,6 +68,7 @@
     ):
         self.address = address
         self.notify = notify
+        self.reports = ExecutionReports(notify)
         self.queue: queue.SimpleQueue[CommitCall | Retransmission | threading.Event] = queue.SimpleQueue()
         self.waiting: list[CommitCall] = []  # calls taken from the queue and not completed, oldest first
         self.flush_requests: list[threading.Event] = []  # created by ``flush``, set when ``waiting`` is empty
@@ -85,7 +76,6 @@
         self.retry_state = RetryState.NONE
         self.backoff = RetryBackoff()
         self.reachable = True  # whether the last attempt to connect succeeded
-        self.suspended = False  # whether the last attempt to send a call failed
         self.rejections = 0  # rejections of the current part of a call, not counting BUSY
         self.part_limit: int | None = None  # maximum commands per part while an invalid command is located
         # The keys appear in the log's ``status`` lines. "again" counts calls without a valid response,
@@ -190,7 +180,7 @@
         try:
             self.connection.connect(address)
         except OSError as error:
-            self.suspend()
+            self.reports.suspend()
             if self.reachable:
                 self.reachable = False
                 log.warning("relay unreachable", reason=str(error))
@@ -243,41 +233,20 @@
             return call
         else:
             accepted = part.size  # skip the whole part as if it had been accepted
-        self.resume()
+        self.reports.resume()
         self.handle_accepted(part, accepted)
         remaining = call.remaining(accepted, part)
         if remaining is not None and isinstance(response, Accepted):
-            self.report_split(part, accepted, remaining)
+            self.counts["splits"] += 1
+            self.reports.report_split(part, accepted, remaining)
         return remaining
 
-    def suspend(self) -> None:
-        """Report that calls do not reach the channel, unless this has been reported."""
-        if not self.suspended:
-            self.suspended = True
-            self.notify(TransmissionSuspended())
-
-    def resume(self) -> None:
-        """Report that calls reach the channel, if it was reported that they do not."""
-        if self.suspended:
-            self.suspended = False
-            self.notify(TransmissionResumed())
-
-    def report_split(self, part: CommitCall, accepted: int, remaining: CommitCall) -> None:
-        """Report the recipients of both parts: proxies that are among both are sent another message."""
-        self.counts["splits"] += 1
-        if part.nonce is None:
-            return
-        first = recipients(part.commands[: max(0, accepted - 1)])
-        later = recipients(remaining.commands)
-        if first.may_overlap(later):
-            self.notify(SplitCall(part.nonce, first, later))
-
     def handle_unconfirmed(self, part: CommitCall, error: UnconfirmedCallError) -> None:
         """Close the connection, and hold the call back until its retransmission is due and allowed."""
         self.counts["again"] += 1
         log.warning("commit unconfirmed, sent again", reason=str(error), commands=part.size, nonce=part.nonce)
         self.connection.close()
-        self.suspend()
+        self.reports.suspend()
         self.retry_state = RetryState.UNCONFIRMED
         self.backoff.failed(time.monotonic())
 
@@ -289,7 +258,7 @@
         that only this command is skipped.
         """
         self.counts["busy"] += 1
-        self.suspend()
+        self.reports.suspend()
         self.rejections += response.code != BUSY
         if self.rejections < REJECTION_LIMIT:
             time.sleep(RETRY_PAUSE_S)
@@ -325,5 +294,4 @@
                 nonce=part.nonce,
                 command=str(rejected),
             )
-            if isinstance(rejected, model.BindProxy) and part.nonce is not None:
-                self.notify(RejectedBind(part.nonce, rejected.proxy))
+            self.reports.report_rejected(part, rejected)
--- a/tests/node/paced_director.py
+++ b/tests/node/paced_director.py
@@ -1,5 +1,6 @@
 """A live director as a process, with a relay whose channel is paced in real time."""
 
+import contextlib
 import json
 import os
 import subprocess
@@ -7,8 +8,8 @@
 
 from rainpick.node.frame_codec import HEARTBEAT_REPLY
 from rainpick.simulated_peers.ports import free_ports
-from tests.node.paced_relay import PacedRelay
-from tests.node.platform_stubs import Peer, configuration_tree
+from tests.node.paced_relay import Fleet, PacedRelay
+from tests.node.platform_stubs import Peer, StubDiscovery, configuration_tree, entry
 
 
 class PacedDirector:
@@ -54,3 +55,21 @@
         self.process.kill()
         self.process.wait()
         self.relay.close()
+
+
+@contextlib.contextmanager
+def paced_platform(folder, settings, proxies, servers):
+    """Yield a director with its fleet of proxies and discovery; stop them in the end."""
+    fleet, discovery = Fleet(proxies, servers), StubDiscovery(*map(entry, range(servers)))
+    director = PacedDirector(folder, "n0", fleet, discovery, settings)
+    try:
+        yield director, fleet, discovery
+    finally:
+        director.stop()
+        discovery.close()
+
+
+def start_drains(fleet, discovery, *numbers):
+    """Let discovery report that these servers drain."""
+    fleet.start_drain(f"s-{number:04x}" for number in numbers)
+    discovery.change(*(entry(number, "Terminating") for number in numbers))
--- a/tests/node/test_retransmission.py
+++ b/tests/node/test_retransmission.py
@@ -5,9 +5,8 @@
 import pytest
 
 from rainpick.node import retry_backoff
-from tests.node.paced_director import PacedDirector
-from tests.node.paced_relay import Fleet
-from tests.node.platform_stubs import SETTINGS, StubDiscovery, entry
+from tests.node.paced_director import paced_platform, start_drains
+from tests.node.platform_stubs import SETTINGS
 from tests.waiting import wait_until
 
 PROXIES, SERVERS = 16, 18
@@ -17,22 +16,9 @@
 
 
 @pytest.fixture
-def fleet():
-    return Fleet(PROXIES, SERVERS)
-
-
-@pytest.fixture
-def discovery():
-    stub = StubDiscovery(*map(entry, range(SERVERS)))
-    yield stub
-    stub.close()
-
-
-@pytest.fixture
-def director(tmp_path, fleet, discovery):
-    process = PacedDirector(tmp_path, "n0", fleet, discovery, SPELL_SETTINGS)
-    yield process
-    process.stop()
+def platform(tmp_path):
+    with paced_platform(tmp_path, SPELL_SETTINGS, PROXIES, SERVERS) as parts:
+        yield parts
 
 
 def bind_all_proxies(director, fleet):
@@ -43,12 +29,6 @@
     wait_until(lambda: len(fleet.bound) == PROXIES, "the bindings of all proxies")
 
 
-def drain(fleet, discovery, *numbers):
-    """Let discovery report that these servers drain."""
-    fleet.start_drain(f"s-{number:04x}" for number in numbers)
-    discovery.change(*(entry(number, "Terminating") for number in numbers))
-
-
 class Spell:
     """A time during which the relay handles each call with the same behaviour, and its calls."""
 
@@ -70,15 +50,16 @@
 
 
 @pytest.mark.parametrize("response", ["no answer, closed", "invalid answer"])
-def test_calls_executed_without_an_answer_do_not_fill_the_channel(director, fleet, discovery, response):
+def test_calls_executed_without_an_answer_do_not_fill_the_channel(platform, response):
     """Guards against repeating such a call without a pause: its lines filled the channel many times over.
 
     The withdrawal of a server that drains afterwards then waited behind them for longer than the grace.
     """
+    director, fleet, discovery = platform
     relay = director.relay
     bind_all_proxies(director, fleet)
     spell = Spell(relay, response)
-    drain(fleet, discovery, 0, 1)
+    start_drains(fleet, discovery, 0, 1)
     wait_until(lambda: len(spell.calls) >= CALLS_IN_SPELL, "the calls of the spell")
     spell.end()
     assert relay.peak_queue_fraction <= 1.0
@@ -86,18 +67,19 @@
     assert repetitions <= 1 + spell.duration_s / retry_backoff.UNRESPONSIVE_PAUSE_S
     wait_until(fleet.uses_no_draining_server, "the withdrawals of the spell")
     fleet.longest_use_us = 0
-    drain(fleet, discovery, 5)
+    start_drains(fleet, discovery, 5)
     wait_until(lambda: "s-0005" in relay.removed and fleet.uses_no_draining_server(), "the later withdrawal")
     assert fleet.longest_use_s() <= GRACE_S
     assert relay.peak_queue_fraction <= 1.0
 
 
-def test_a_lost_call_is_sent_again_once_the_relay_responds(director, fleet, discovery):
+def test_a_lost_call_is_sent_again_once_the_relay_responds(platform):
     """Guards against a withdrawal that is never sent again, as its first transmission was not executed."""
+    director, fleet, discovery = platform
     relay = director.relay
     bind_all_proxies(director, fleet)
     spell = Spell(relay, "not read, closed")
-    drain(fleet, discovery, 3)
+    start_drains(fleet, discovery, 3)
     wait_until(lambda: len(spell.calls) >= 5, "the calls of the spell")
     spell.end()
     wait_until(lambda: relay.commands("withdraw"), "the withdrawal, sent again")
--- a/tests/node/test_soak.py
+++ b/tests/node/test_soak.py
@@ -3,6 +3,7 @@
 Each seed is a short run. ``RAINPICK_SOAK_SEEDS`` sets how many there are; by default a few, as for CI.
 """
 
+import contextlib
 import os
 import random
 import time
@@ -10,9 +11,8 @@
 import pytest
 
 from tests.node.disruptions import DISRUPTIONS, START_ALLOWANCE_S, Disrupter
-from tests.node.paced_director import PacedDirector
-from tests.node.paced_relay import Fleet
-from tests.node.platform_stubs import SETTINGS, StubDiscovery, entry
+from tests.node.paced_director import paced_platform, start_drains
+from tests.node.platform_stubs import SETTINGS
 from tests.waiting import wait_until
 
 SEEDS = int(os.environ.get("RAINPICK_SOAK_SEEDS", "6"))
@@ -30,11 +30,11 @@
 @pytest.mark.parametrize("seed", range(SEEDS))
 def test_a_director_under_disruptions_keeps_the_grace_and_the_queue_limit(seed, tmp_path):
     draw = random.Random(seed)
-    fleet, discovery = Fleet(PROXIES, SERVERS), StubDiscovery(*map(entry, range(SERVERS)))
-    director = PacedDirector(tmp_path, "n0", fleet, discovery, SOAK_SETTINGS)
-    disrupter = Disrupter(director, PROXIES, draw)
-    draining = draw.sample(range(SERVERS), 2 * DISRUPTIONS_MAX)
-    try:
+    with (
+        paced_platform(tmp_path, SOAK_SETTINGS, PROXIES, SERVERS) as (director, fleet, discovery),
+        contextlib.closing(Disrupter(director, PROXIES, draw)) as disrupter,
+    ):
+        draining = draw.sample(range(SERVERS), 2 * DISRUPTIONS_MAX)
         wait_until(director.responds_to_heartbeat, "a heartbeat")
         for proxy in range(PROXIES):
             director.relay.join_proxy(proxy)
@@ -42,9 +42,7 @@
         for _ in range(draw.randint(2, DISRUPTIONS_MAX)):
             disruption = draw.choice(DISRUPTIONS)
             limit_s += disruption.allowance_s
-            batch, draining = draining[:2], draining[2:]
-            fleet.start_drain(f"s-{number:04x}" for number in batch)
-            discovery.change(*(entry(number, "Terminating") for number in batch))
+            start_drains(fleet, discovery, draining.pop(), draining.pop())
             time.sleep(draw.random() * PAUSE_MAX_S)
             disrupter.apply(disruption)
         wait_until(fleet.uses_no_draining_server, "the removal of all draining servers", limit_s)
@@ -52,7 +50,3 @@
         wait_until(lambda: len(director.relay.channel.bound) == PROXIES, "the bindings of all proxies")
         assert director.process.poll() is None
         assert director.relay.peak_queue_fraction <= 1.0
-    finally:
-        disrupter.close()
-        director.stop()
-        discovery.close()
--- a/tests/node/test_stalled_channel.py
+++ b/tests/node/test_stalled_channel.py
@@ -4,9 +4,8 @@
 
 import pytest
 
-from tests.node.paced_director import PacedDirector
-from tests.node.paced_relay import Fleet
-from tests.node.platform_stubs import SETTINGS, StubDiscovery, entry
+from tests.node.paced_director import paced_platform, start_drains
+from tests.node.platform_stubs import SETTINGS
 from tests.waiting import wait_until
 
 PROXIES, SERVERS = 400, 60
@@ -26,22 +25,9 @@
 
 
 @pytest.fixture
-def fleet():
-    return Fleet(PROXIES, SERVERS)
-
-
-@pytest.fixture
-def discovery():
-    stub = StubDiscovery(*map(entry, range(SERVERS)))
-    yield stub
-    stub.close()
-
-
-@pytest.fixture
-def director(tmp_path, fleet, discovery):
-    process = PacedDirector(tmp_path, "n0", fleet, discovery, FLEET_SETTINGS)
-    yield process
-    process.stop()
+def platform(tmp_path):
+    with paced_platform(tmp_path, FLEET_SETTINGS, PROXIES, SERVERS) as parts:
+        yield parts
 
 
 def join(director, proxies):
@@ -52,24 +38,18 @@
         director.relay.join_proxy(proxy)
 
 
-def drain(fleet, discovery):
-    """Let discovery report that some servers drain."""
-    numbers = range(DRAINING_SERVERS)
-    fleet.start_drain(f"s-{number:04x}" for number in numbers)
-    discovery.change(*(entry(number, "Terminating") for number in numbers))
-
-
 def expect_drains_within(limit_s, fleet):
     """Wait until no proxy can use a draining server; fail if one could for longer than ``limit_s``."""
     wait_until(fleet.uses_no_draining_server, "the removal of all draining servers", limit_s)
     assert fleet.longest_use_s() <= limit_s
 
 
-def test_binds_rejected_after_a_restart_do_not_stop_the_channel(director, fleet, discovery):
+def test_binds_rejected_after_a_restart_do_not_stop_the_channel(platform):
     """Guards against a second acknowledgement that is expected of proxies which get a single message.
 
     The first call of a restarted director sets up tables and binds proxies. A rejected bind splits it.
     """
+    director, fleet, discovery = platform
     relay = director.relay
     join(director, range(PROXIES))
     wait_until(lambda: len(fleet.bound) == PROXIES, "the first bindings")
@@ -79,7 +59,7 @@
         relay.join_proxy(proxy)
     for proxy in leaving:
         relay.leave_proxy(proxy)
-    drain(fleet, discovery)
+    start_drains(fleet, discovery, *range(DRAINING_SERVERS))
     director.process = director.start()
     wait_until(lambda: any(response != len(call) for response, call in relay.calls), "a rejected bind")
     for proxy in leaving:
@@ -90,12 +70,13 @@
     wait_until(lambda: len(relay.channel.bound) == PROXIES, "the bindings of all proxies")
 
 
-def test_acknowledgements_lost_with_a_silent_stream_do_not_stop_the_channel(director, fleet, discovery):
+def test_acknowledgements_lost_with_a_silent_stream_do_not_stop_the_channel(platform):
     """Guards against lines that are counted for good, since their acknowledgements were not received."""
+    director, fleet, discovery = platform
     relay = director.relay
     join(director, range(PROXIES))
     wait_until(lambda: len(fleet.bound) >= BOUND_BEFORE_SILENCE, "the first bindings")
     relay.mute_subscribers()
-    drain(fleet, discovery)
+    start_drains(fleet, discovery, *range(DRAINING_SERVERS))
     expect_drains_within(GRACE_S + RULE_SLACK_S + SUBSCRIPTION_LOSS_S, fleet)
     wait_until(lambda: len(relay.channel.bound) == PROXIES, "the bindings of all proxies")
