--- a/tests/record/test_days.py
+++ b/tests/record/test_days.py
@@ -10,14 +10,14 @@
 from rainpick.simulated_peers.scenario import Scenario
 
 TEXT = """{
-  name: "recorded", length: "8s", servers: 8, proxies: 4, calls_per_s: 60, zones: ["a", "b"],
+  name: "recorded", length: "12s", servers: 8, proxies: 4, calls_per_s: 60, zones: ["a", "b"],
   directors: 2, seed: 3,
   routes: [{name: "lookup", work: "20ms", slo_time: "400ms", time_limit: "1s"}],
   settings: {rules: {warm_after: "3s", drain_grace: "1.5s", bare: "1s"}},
   events: [
     {at: "1s", do: "lose_zone", zone: "a", for: "2s"}, {at: "1s", do: "double_reports", for: "3s"},
     {at: "3500ms", do: "kill_director", director: 0, for: "1s"}, {at: "5s", do: "drain", servers: [1]},
-    {at: "5500ms", do: "break_streams"}, {at: "6s", do: "slow", servers: [3], factor: 10, for: "1s"}],
+    {at: "9500ms", do: "break_streams"}, {at: "10s", do: "slow", servers: [3], factor: 10, for: "1s"}],
 }"""
 
 
