--- a/rainpick/decisions/channel_progress.py
+++ b/rainpick/decisions/channel_progress.py
@@ -118,8 +118,13 @@
         lasting = ordinary - first / SILENT_PACE_FRACTION
         return first + LASTING_SILENT_PACE_FRACTION * lasting
 
+    @property
+    def is_assumed(self) -> bool:
+        """Whether progress is assumed, and acknowledgements may be overdue."""
+        return self.losses_assumed and not self.suspended
+
     def overdue_position(self) -> int:
         """Return the position up to which acknowledgements are overdue."""
-        if self.suspended or not self.samples or self.samples[0].at_us > self.now - self.timeout_us:
+        if not self.is_assumed or not self.samples or self.samples[0].at_us > self.now - self.timeout_us:
             return 0
         return min(self.position, self.samples[0].position)
--- a/rainpick/decisions/publisher.py
+++ b/rainpick/decisions/publisher.py
@@ -156,7 +156,11 @@
     def expire_messages(self) -> None:
         """Stop counting messages whose acknowledgements are overdue; looked for once an update interval."""
         now = self.fleet.clock.now
-        if not self.queue.waiting or now < self.expired_us + UPDATE_INTERVAL_US:
+        if (
+            not self.queue.waiting
+            or not self.queue.progress.is_assumed
+            or now < self.expired_us + UPDATE_INTERVAL_US
+        ):
             return
         self.expired_us = now
         for proxy in self.fleet.proxies.values():
--- a/rainpick/decisions/send_queue.py
+++ b/rainpick/decisions/send_queue.py
@@ -89,6 +89,8 @@
 
     def is_overdue(self, nonce: Hashable) -> bool:
         """Return whether acknowledgements of a reply should have arrived."""
+        if not self.progress.is_assumed:
+            return False
         reply = self.replies.get(nonce)
         return reply is None or reply.end <= self.progress.overdue_position()
 
--- a/tests/decisions/test_channel_progress.py
+++ b/tests/decisions/test_channel_progress.py
@@ -99,6 +99,7 @@
     fleet.apply = lambda message: None
     fleet.run(1_000_000)
     waiting = fleet.unacknowledged_lines()
+    fleet.stepper.director.publisher.queue.replies.clear()  # as after very many newer replies
     fleet.run(60_000_000)
     assert fleet.unacknowledged_lines() == waiting > 0
 
