--- a/review/standins-2/live_platform.py
+++ b/review/standins-2/live_platform.py
@@ -161,9 +161,9 @@
                     self.write(sock, {"method": "ping"})
                 time.sleep(1)
 
-    def attach(self, node: int, rate: float = 15.0) -> None:
+    def attach(self, node: int, rate: float = 15.0, zone: str | None = None) -> None:
         """Let a proxy join; ``rate`` is a rough figure of its requests a second."""
-        zone = SETTINGS["failureDomains"][node % 2]
+        zone = zone or SETTINGS["failureDomains"][node % 2]
         with self.lock:
             self.joined[node] = {"node": node, "locality": zone, "w": rate, "cold": True}
             self.news("attach", self.joined[node])
