--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -70,7 +70,7 @@
         with open(self.folder / log, "ab") as stderr:
             process = subprocess.Popen(["/bin/sh", "-c", command], cwd=ROOT, stderr=stderr, **options)
         self.processes.append(process)
-        self.note("started", program=command, log=log)
+        self.note("started", program=command.replace(str(self.folder), "FOLDER"), log=log)
         return process
 
     def log_tail(self, log: str, lines: int = 4) -> None:
