Review cases: exit 2 where nothing was judged, and stand-ins inside the limits

A missing build, an import error, a signal or 110 s end a case with 2 and leave no process. Case 7: hosts that drain are replaced before the next one, so that one of six is away at a time; case 6: one of ten drains at a time. Case 9: picks go by weight, reports come 0.5 s late. No name is looked up.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -40,12 +40,15 @@
             case.note("the next answer will be spoilt", kind=number, bytes=len(spoilt))
             relay.spoilt.append(spoilt)
         case.note("discovery tells of a drain", host=entry(number)["instanceId"])
-        discovery.change(entry(number, "Terminating"))
+        changes = [entry(number, "Terminating")]
+        if number:  # the host before has been replaced: one of ten drains at a time
+            changes.append(entry(number - 1, "Ready", time.time_ns() // 1_000_000))
+        discovery.change(*changes)
         time.sleep(3)
         status, alive = director.poll(), answers_heartbeat(listen)
         host = entry(number)["instanceId"]
         case.note("looked", exit_status=status, alive=alive, withdrawn=host in relay.withdrawn)
-        if status is not None or not alive:
+        if status is not None:
             case.log_tail("director.log")
             return f"the director ended with status {status} after the spoilt answer of kind {number}"
     return None
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -7,11 +7,12 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins-2"))
 
 from harness import Case, run_case  # noqa: E402
-from simulator import DELTA, DRAINING, Simulator, host_address, name  # noqa: E402
+from simulator import DELTA, DRAINING, GONE, READY, Simulator, host_address, name  # noqa: E402
 
 HOSTS, SLICES, PROXIES = 6, 6, 6
 WRITE_EVERY_US = 200_000  # of each slice at each proxy: 180 a second in all
 FIRST_DRAIN_S, DRAIN_EVERY_S, DRAINS = 6.0, 6.0, 4
+GONE_AFTER_S, SUCCESSOR_AFTER_S = 3.0, 4.0  # after the drain, so that one of six hosts is away at a time
 SETTINGS = {
     "az": 0,
     "me": 0,
@@ -80,6 +81,11 @@
         if case.trouble:
             case.note("the list tells of a drain", host=name(host_address(drained)))
             simulator.tell_hosts([(drained, DRAINING)], DELTA)
+            began_s = FIRST_DRAIN_S + step * DRAIN_EVERY_S
+            simulator.run_until(began_s + GONE_AFTER_S)
+            simulator.tell_hosts([(drained, GONE)], DELTA)
+            simulator.run_until(began_s + SUCCESSOR_AFTER_S)
+            simulator.tell_hosts([(HOSTS + step, READY)], DELTA, simulator.now_us())
     simulator.run_until(FIRST_DRAIN_S + DRAINS * DRAIN_EVERY_S)
     slices = simulator.slices
     case.note("writes", taken=slices.taken, refused=simulator.refused, breaches=len(slices.breaches))
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,5 +1,6 @@
 """Case 9: hosts of one zone are ejected together, and a route that keeps to its zone has no line there."""
 
+import contextlib
 import json
 import random
 import socket
@@ -31,11 +32,16 @@
 FAILING = 0.75
 CALLS_PER_S = 45  # of each zone; commits are 31% of them
 COMMITS, ANSWER_MS = 0.31, 105.0
-LINES_PER_S = 72  # report lines; the intake is 75 a second
+REPORT_LATE_S = 0.5  # the pages: 250 to 1,300 ms; 72 report lines a second, where the intake is 75
 CASE_SETTINGS = SETTINGS | {
     "failureDomains": list(ZONES),
     "domain": SETTINGS["domain"]
-    | {"proxyCount": PROXIES, "classOwnZone": [False, True], "mutating": [False, True]},
+    | {
+        "lbMethod": "lottery",
+        "proxyCount": PROXIES,
+        "classOwnZone": [False, True],
+        "mutating": [False, True],
+    },
     "penalties": {"crossZone": 0.06},
 }
 ZONE_OF = {
@@ -70,13 +76,13 @@
         body = json.dumps(message).encode()
         self.sock.sendall(len(body).to_bytes(4, "little") + body)
 
-    def lines(self, own_zone: bool) -> list[str]:
-        """Return the open lines of a proxy, all or those of its zone."""
-        lines = self.relay.open_lines(self.node)
-        return [host for host in lines if not own_zone or ZONE_OF[host] == self.name]
+    def lines(self, own_zone: bool) -> dict[str, float]:
+        """Return the open lines of a proxy with their weights, all or those of its zone."""
+        lines = self.relay.open_lines(self.node).items()
+        return {host: weight for host, weight in lines if not own_zone or ZONE_OF[host] == self.name}
 
     def serve(self) -> None:
-        """Send calls to hosts for a second, then report what was met there."""
+        """Send calls to hosts, picked by weight, for a second; then report late what was met there."""
         while True:
             tries: Counter[str] = Counter()
             errors: Counter[str] = Counter()
@@ -85,10 +91,15 @@
                 if not hosts:
                     self.refused += 1
                 else:
-                    host = self.draw.choice(hosts)
+                    host = self.draw.choices(list(hosts), list(hosts.values()))[0]
                     tries[host] += 1
                     errors[host] += host in self.bad and self.draw.random() < FAILING
                 time.sleep(1 / CALLS_PER_S)
+            threading.Timer(REPORT_LATE_S, self.report, (tries, errors)).start()
+
+    def report(self, tries: Counter[str], errors: Counter[str]) -> None:
+        """Let the collector forward what was met at each host."""
+        with contextlib.suppress(OSError):
             for host, total in tries.items():
                 self.send(
                     {
@@ -110,7 +121,7 @@
     environment = write_configuration(
         case, listen, discovery.address, relay.address, discovery.versions[0], CASE_SETTINGS
     )
-    case.start(case.command("run"), "director.log", env=environment)
+    director = case.start(case.command("run"), "director.log", env=environment)
     wait_for(lambda: answers_heartbeat(listen), "the first sign of life", 30)
     wait_for(lambda: relay.readers, "the request for news")
     for node in range(PROXIES):
@@ -137,6 +148,7 @@
                 case.note("commits have no line", zone=HOME)
             longest = max(longest, case.now_s() - since)
         time.sleep(0.05)
+    case.require_running(director)
     case.note("calls refused for lack of a line", **{zone.name: zone.refused for zone in zones})
     if longest <= BARE_S + SLACK_S:
         return None
--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -5,6 +5,7 @@
 import contextlib
 import os
 import shutil
+import signal
 import socket
 import subprocess
 import sys
@@ -18,7 +19,9 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 sys.path.insert(0, str(ROOT))  # the deploy file's build does not install the project's own package
-KEPT, BROKEN, NOT_RUN = 0, 1, 2
+KEPT, NOT_RUN = 0, 2
+BROKEN = 41  # run.sh turns it into 1, which an interpreter also ends with when it could not run
+LIMIT_S = 110
 LOOPBACK = "127.0.0.1"
 
 
@@ -73,6 +76,11 @@
         self.note("started", program=command.replace(str(self.folder), "FOLDER"), log=log)
         return process
 
+    def require_running(self, process: subprocess.Popen[bytes]) -> None:
+        """Raise ``CaseNotRunError`` if a program has ended, so that no other rule can be judged."""
+        if process.poll() is not None:
+            raise CaseNotRunError(f"the program has ended with status {process.poll()}")
+
     def log_tail(self, log: str, lines: int = 4) -> None:
         """Copy the last lines of a program's log into the record, without folders."""
         text = (self.folder / log).read_text(errors="replace")
@@ -102,9 +110,17 @@
     raise CaseNotRunError(f"{what} did not come within {limit_s} s")
 
 
+def stop_case(number: int, _frame: Any) -> None:
+    """End the case, and with it what it started, at a signal or when its time is over."""
+    raise CaseNotRunError(f"ended by signal {number}")
+
+
 def run_case(number: int, play: Callable[[Case], str | None]) -> None:
     """Play a case and exit with its verdict. ``play`` returns what broke the rule, or None if it held."""
     case = Case(number)
+    for ending in (signal.SIGALRM, signal.SIGTERM, signal.SIGINT):
+        signal.signal(ending, stop_case)
+    signal.alarm(LIMIT_S)
     try:
         breach = play(case)
         case.note("verdict", rule="broken: " + breach if breach else "held")
--- a/review/standins-2/live_platform.py
+++ b/review/standins-2/live_platform.py
@@ -8,6 +8,7 @@
 import threading
 import time
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from socketserver import TCPServer
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
@@ -58,6 +59,17 @@
     }
 
 
+class AgentServer(ThreadingHTTPServer):
+    """An HTTP server that looks up no name when it binds, as the case may run without a network."""
+
+    daemon_threads = True
+
+    def server_bind(self) -> None:
+        """Bind the socket."""
+        TCPServer.server_bind(self)
+        self.server_name, self.server_port = LOOPBACK, self.server_address[1]
+
+
 class Discovery:
     """Discovery's agent: the whole list, and long polls for what changed."""
 
@@ -84,8 +96,7 @@
             def log_message(self, *_: Any) -> None:
                 """Write no log."""
 
-        self.server = ThreadingHTTPServer((LOOPBACK, 0), Handler)
-        self.server.daemon_threads = True
+        self.server = AgentServer((LOOPBACK, 0), Handler)
         self.address = f"{LOOPBACK}:{self.server.server_port}"
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
 
@@ -202,12 +213,22 @@
             elif order["verb"] == "mark":
                 stamp = order["stamp"]
             else:
-                reached |= self.bound.keys()
+                reached |= self.concerned(order)
                 self.change_tables(order)
         if stamp is not None:
             threading.Timer(0.1, self.done, (sorted(reached), stamp)).start()
         return len(orders)
 
+    def concerned(self, order: dict[str, Any]) -> set[int]:
+        """Return the bound proxies that an order about a table or a host reaches."""
+        if order["verb"] in ("withdraw", "restore"):
+            tables = [table for table, lines in self.lines.items() if order["endpoint"] in lines]
+        elif order["cluster"] == "*":
+            tables = list(self.bound.values())
+        else:
+            tables = [order["cluster"]]
+        return {node for node, table in self.bound.items() if table in tables}
+
     def change_tables(self, order: dict[str, Any]) -> None:
         """Set a line, clear a table, withdraw a host or let it back in."""
         if order["verb"] == "share":
@@ -221,11 +242,11 @@
             change = self.withdrawn.add if order["verb"] == "withdraw" else self.withdrawn.discard
             change(order["endpoint"])
 
-    def open_lines(self, node: int) -> list[str]:
-        """Return the hosts that a bound proxy may pick."""
+    def open_lines(self, node: int) -> dict[str, float]:
+        """Return the hosts that a bound proxy may pick, with their weights."""
         with self.lock:
             lines = self.lines.get(self.bound.get(node, -1), {})
-            return [host for host in lines if host not in self.withdrawn]
+            return {host: weight for host, weight in lines.items() if host not in self.withdrawn}
 
     def done(self, nodes: list[int], stamp: int) -> None:
         """Send the proxies' answers to a mark."""
--- a/review/standins-2/simulator.py
+++ b/review/standins-2/simulator.py
@@ -17,7 +17,7 @@
 
 from harness import Case, CaseNotRunError
 
-READY, DRAINING = 1, 2
+GONE, READY, DRAINING = 0, 1, 2
 CACHED, DELTA = 2, 0
 LATE_US, LATE_MOST_US = 179_000, 447_500
 LINES_PER_S, HEAD = 2_500.0, 6
@@ -140,10 +140,10 @@
         for proxy in self.proxies:
             self.records.append(struct.pack(">HIBfHB", 1060, 0, 1, 10.0, proxy.number, 0))
 
-    def tell_hosts(self, states: list[tuple[int, int]], kind: int) -> None:
-        """Tell the instance of hosts."""
+    def tell_hosts(self, states: list[tuple[int, int]], kind: int, started_us: int = 0) -> None:
+        """Tell the instance of hosts, which started at the same time (0: long ago)."""
         rows = [
-            struct.pack(">fBQHH6sB", 1.0, 0, 0, 0, number // 4, host_address(number), state)
+            struct.pack(">fBQHH6sB", 1.0, 0, started_us, 0, number // 4, host_address(number), state)
             for number, state in states
         ]
         self.records.append(struct.pack(">HII", 1140, 0, len(rows)) + b"".join(rows))
