Daemon: refuse values that no number can hold instead of ending the process

SASP labels, MQTT payloads and OTLP points were read and hold: they catch OverflowError or bound each number in their schema.

--- a/rainpick/director/daemon.py
+++ b/rainpick/director/daemon.py
@@ -45,6 +45,14 @@
 log = structlog.get_logger()
 
 
+def modification_time_ns(path: str) -> int | None:
+    """Return when a file was last modified; None if it cannot be read, such as while it is replaced."""
+    try:
+        return os.stat(path).st_mtime_ns
+    except OSError:
+        return None
+
+
 class Daemon:
     """One director; ``start`` opens its frontends.
 
@@ -161,7 +169,7 @@
         if path is None:
             return
         try:
-            self.list_file_mtime_ns = os.stat(path).st_mtime_ns if os.path.exists(path) else None
+            self.list_file_mtime_ns = modification_time_ns(path)
             entries = read_list(path, self.settings, self.event_loop.clock())
             self.event_loop.inbox.post(ListFileRead(entries))
         except SettingsError as error:
@@ -172,9 +180,8 @@
     def list_file_changed(self) -> bool:
         """Return whether the list file exists and was modified since it was last read."""
         path = self.settings.fleet.list_file
-        if not path or not os.path.exists(path):
-            return False
-        return os.stat(path).st_mtime_ns != self.list_file_mtime_ns
+        modified_ns = modification_time_ns(path) if path else None
+        return modified_ns is not None and modified_ns != self.list_file_mtime_ns
 
     # Run and stop
 
--- a/rainpick/director/list_files.py
+++ b/rainpick/director/list_files.py
@@ -5,6 +5,7 @@
 import contextlib
 import json
 import os
+import sys
 import threading
 from pathlib import Path
 from queue import SimpleQueue
@@ -16,6 +17,7 @@
 
 from rainpick import model
 from rainpick.director.addresses import Key
+from rainpick.director.member_labels import MAX_POD
 from rainpick.director.membership import FileEntry
 from rainpick.settings import Settings, SettingsError, load
 from rainpick.settings.part import Part
@@ -24,6 +26,7 @@
 log = structlog.get_logger()
 CACHE_FORMAT = 1
 CLOSE_TIMEOUT_S = 2.0
+MAX_PORT = 65_535
 
 
 # The list file
@@ -36,7 +39,7 @@
     weight: float = Field(1.0, gt=0)
     zone: str | None = None
     machine: str | None = None
-    pod: int = Field(0, ge=0, le=65_535)
+    pod: int = Field(0, ge=0, le=MAX_POD)
     state: Literal["ready", "draining"] = "ready"
     age: Duration | None = Field(None, description="since its start; long ago if absent")
 
@@ -105,7 +108,7 @@
         if document["format"] != CACHE_FORMAT:
             raise ValueError(f"format {document['format']!r}")
         return [cached_entry(row, settings, wall_us - now) for row in document["servers"]]
-    except (OSError, ValueError, KeyError, TypeError) as error:
+    except (OSError, ValueError, KeyError, TypeError, OverflowError, RecursionError) as error:
         log.warning("the cached list is not used", file=path, why=f"{type(error).__name__}: {error}")
         return None
 
@@ -115,16 +118,20 @@
 
     ``offset_us``: how far the wall clock is ahead of the director's clock, in microseconds.
     """
-    host, port, weight, zone, machine, pod, started, draining = row
+    host, port, weight, zone, machine, pod, started_us, draining = row
     if zone not in settings.zones or machine not in settings.machines:
         raise ValueError(f"zone {zone!r} or machine {machine!r} is not known any more")
+    if not 0 < weight <= sys.float_info.max:
+        raise ValueError(f"weight {weight!r} is not a finite number above 0")
+    if not 0 <= port <= MAX_PORT or not 0 <= pod <= MAX_POD:
+        raise ValueError(f"port {port!r} or pod {pod!r} is out of range")
     return FileEntry(
         (str(host), int(port)),
         float(weight),
         settings.zones.index(zone),
         settings.machines.index(machine),
         int(pod),
-        max(0, started - offset_us) if started else 0,
+        max(0, int(started_us) - offset_us) if started_us else 0,
         bool(draining),
     )
 
--- a/rainpick/director/status_frontend.py
+++ b/rainpick/director/status_frontend.py
@@ -33,6 +33,8 @@
         parameters: Any = json.loads(request.body)
         if not isinstance(parameters, dict):
             raise ValueError("an object is wanted")
+    except RecursionError:
+        return error_answer(400, "nested too deeply")
     except ValueError as error:
         return error_answer(400, str(error))
     result = inbox.query(TableActionRequest(action, parameters))
--- a/rainpick/director/table_actions.py
+++ b/rainpick/director/table_actions.py
@@ -60,7 +60,7 @@
             result = TableActionResult(200, document)
         except PinError as error:
             result = TableActionResult(409, {"error": str(error)})
-        except (KeyError, TypeError, ValueError) as error:
+        except (KeyError, TypeError, ValueError, OverflowError, RecursionError) as error:
             result = TableActionResult(400, {"error": f"{type(error).__name__}: {error}"})
         request.reply(result)
 
--- a/rainpick/settings/units.py
+++ b/rainpick/settings/units.py
@@ -5,6 +5,7 @@
 
 from pydantic import BeforeValidator, WithJsonSchema
 
+MAX_DURATION_US = 1 << 62  # any time plus a duration fits 64 bits
 UNITS_US = {"us": 1, "ms": 1_000, "s": 1_000_000, "min": 60_000_000, "h": 3_600_000_000}
 DURATION_PATTERN = re.compile(r"(\d+(?:\.\d+)?)\s*(us|ms|s|min|h)")
 
@@ -21,7 +22,10 @@
     match = DURATION_PATTERN.fullmatch(value.strip()) if isinstance(value, str) else None
     if not match:
         raise ValueError('a duration is text with a unit, such as "1.5s"; units are ' + ", ".join(UNITS_US))
-    return round(float(match[1]) * UNITS_US[match[2]])
+    duration_us = float(match[1]) * UNITS_US[match[2]]
+    if duration_us > MAX_DURATION_US:
+        raise ValueError(f"a duration is at most {MAX_DURATION_US} us")
+    return round(duration_us)
 
 
 class SocketAddress(NamedTuple):
