Hand a key range with a single owner over in two steps: two owners wrote at once

Cause: one reply withdrew the draining owner and named the new one; each proxy applies it at another time. Ruled out: late messages, as the breach comes with messages in time. The owner is now withdrawn first; the new one follows once each joined proxy has acknowledged, each proxy without a stream has lost its lease, and the longest write has passed. The withdrawal waits within the drain grace while a lease cannot be cut short, so that nobody is without a line for longer than the settings allow. Proxies that join again are sent the withdrawals and readmissions that they missed.

This works as each span is one that the settings state, and proofs are acknowledgements of the message itself.

--- a/rainpick/decisions/director.py
+++ b/rainpick/decisions/director.py
@@ -43,13 +43,14 @@
 from rainpick.decisions.send_queue import ChannelState
 from rainpick.decisions.servers import ServerState
 from rainpick.decisions.settings import TICK_US, UPDATE_INTERVAL_US, read_settings
+from rainpick.decisions.single_owner_ranges import SingleOwnerRanges
 from rainpick.decisions.slow_start import Conditions, SlowStart
 from rainpick.decisions.split_calls import BindRejected, CallSplit, SplitCalls
 from rainpick.decisions.table_assignment import TableAssignment
 from rainpick.decisions.weight_updates import WeightUpdates, populated_tables
 from rainpick.decisions.withdrawals import Withdrawals
 
-UPDATE_TIMER, SUBSCRIBE_TIMER = 0, 1  # tokens of timers
+UPDATE_TIMER, SUBSCRIBE_TIMER, KEY_RANGE_TIMER = 0, 1, 2  # tokens of timers
 
 
 class Director:
@@ -98,6 +99,8 @@
             self.outlier_detector.detect()
             self.update_due = True
         self.retransmissions.publish()
+        if now >= self.key_ranges.due_us:
+            self.update_due = True
         if self.update_due:
             self.update_due = False
             self.publish()
@@ -123,7 +126,8 @@
         self.split_calls = SplitCalls(fleet, self.publisher)
         self.endpoint_list = EndpointList(fleet)
         self.proxy_membership = ProxyMembership(fleet, self.assignment, self.publisher.queue)
-        self.key_ranges = KeyRanges(fleet)
+        has_single_owners = settings.uses_key_ranges and settings.key_range_single_owner
+        self.key_ranges = (SingleOwnerRanges if has_single_owners else KeyRanges)(fleet, self.publisher)
         self.update_due = False
         self.next_update_us = self.next_tick_us = now
         self.handlers = self.event_handlers()
@@ -137,8 +141,8 @@
             model.EndpointUpdate: self.endpoints_updated,
             model.TimerFired: self.timer_fired,
             model.ProxyJoined: self.proxy_joined,
-            model.ProxyLeft: self.proxy_membership.left,
-            model.Acknowledged: self.publisher.acknowledged,
+            model.ProxyLeft: self.proxy_left,
+            model.Acknowledged: self.acknowledged,
             AcknowledgementsMayBeLost: lambda _: self.publisher.queue.progress.assume_losses(),
             TransmissionSuspended: lambda _: self.publisher.queue.progress.suspend(),
             TransmissionResumed: lambda _: self.publisher.queue.progress.resume(),
@@ -171,8 +175,20 @@
     def proxy_joined(self, event: model.ProxyJoined) -> None:
         """Add a proxy, which is unbound at first, and publish in this step."""
         self.proxy_membership.joined(event)
+        self.key_ranges.proxy_joined(event)
         self.update_due = True
 
+    def proxy_left(self, event: model.ProxyLeft) -> None:
+        """Remove a proxy."""
+        self.proxy_membership.left(event)
+        self.key_ranges.proxy_left(event.proxy)
+
+    def acknowledged(self, event: model.Acknowledged) -> None:
+        """Record that a proxy has applied messages."""
+        self.publisher.acknowledged(event)
+        if event.proxy in self.fleet.proxies:
+            self.key_ranges.acknowledged(event.proxy)
+
     def retransmitted(self, event: model.Retransmitted) -> None:
         """Count the lines and messages of a reply that an earlier version of the program sent again."""
         self.publisher.retransmitted(event.nonce)
@@ -192,9 +208,10 @@
         """Compute the target state, and publish changes towards it as far as the channel has capacity."""
         if self.fleet.settings.uses_key_ranges:
             conditions = self.conditions()
-            self.publisher.commands += self.key_ranges.publish(
-                lambda server: self.slow_start.advance(server, conditions)
-            )
+            self.key_ranges.publish(lambda server: self.slow_start.advance(server, conditions))
+            if self.key_ranges.due_us < self.next_update_us:
+                delay_us = int(self.key_ranges.due_us) + 1 - self.fleet.clock.now
+                self.publisher.commands.append(model.SetTimer(KEY_RANGE_TIMER, delay_us))
         else:
             self.update_tables()
 
--- a/rainpick/decisions/publisher.py
+++ b/rainpick/decisions/publisher.py
@@ -226,10 +226,11 @@
         proxy.group = table
         self.queue.plan(lines)
 
-    def finish(self) -> None:
+    def finish(self, all_proxies: bool = False) -> None:
         """Request an acknowledgement of the reply, and record its messages until they are acknowledged.
 
-        Only advances the nonce if the reply has no messages.
+        Only advances the nonce if the reply has no messages. ``all_proxies``: request one also of joined
+        proxies that hold no table with the servers of the reply.
         """
         for group in (*self.fleet.tables, *self.fleet.unbound_groups()):
             lines = group.pending_lines
@@ -239,7 +240,7 @@
         nonce = self.next_nonce()
         if not self.written:
             return
-        self.commands.append(RequestAcknowledgement(nonce, False))
+        self.commands.append(RequestAcknowledgement(nonce, all_proxies))
         for proxy, lines in self.written:
             proxy.unacknowledged.append(SentMessage(nonce, lines))
             proxy.message_tokens -= 1
--- a/rainpick/decisions/settings.py
+++ b/rainpick/decisions/settings.py
@@ -48,6 +48,10 @@
     report_interval_us: int
     uses_key_ranges: bool
     key_range_single_owner: bool
+    lease_us: int  # time for which a proxy still sends writes after its stream has broken
+    write_life_us: int  # maximum duration of a write
+    transit_max_us: int  # maximum time from the departure of a message from the channel to the proxy
+    bare_max_us: int  # maximum time for which a proxy may have no server to pick; 0: unlimited
     drain_grace_us: float
     fall_multiple: float  # severe congestion begins at a latency ratio proportional to this value
     gone_is_not_final: bool  # whether a server that the list dropped is possibly still serving
@@ -90,6 +94,10 @@
         report_interval_us=get("proxies.report_every_us", TICK_US),
         uses_key_ranges=bool(get("proxies.slices", 0)),
         key_range_single_owner=get("proxies.one_owner", False),
+        lease_us=get("proxies.tenure_us", 0),
+        write_life_us=get("proxies.write_life_us", 0),
+        transit_max_us=get("proxies.transit_max_us", 0),
+        bare_max_us=get("proxies.bare_us", 0),
         drain_grace_us=get("rules.drain_grace_us", UNLIMITED),
         fall_multiple=get("rules.fall_multiple", DEFAULT_FALL_MULTIPLE),
         gone_is_not_final=get("rules.gone_does_not_bind", False),
