Keep a server of the zone for routes that keep to it: ejections left them without any line

Cause: the limit on ejected weight holds for the fleet as a whole, and no decision read which routes keep to the zone of the proxy. Ruled out: the list (it showed all as ready), empty tables (other routes went on in the same table) and late readmissions. A zone's last warm server in a table with proxies of the zone is no longer ejected, an ejection ends early if the last one in use leaves, and a table without a server of its proxies' zone gets one at once.

--- a/rainpick/decisions/director.py
+++ b/rainpick/decisions/director.py
@@ -47,8 +47,9 @@
 from rainpick.decisions.slow_start import Conditions, SlowStart
 from rainpick.decisions.split_calls import BindRejected, CallSplit, SplitCalls
 from rainpick.decisions.table_assignment import TableAssignment
-from rainpick.decisions.weight_updates import WeightUpdates, populated_tables
+from rainpick.decisions.weight_updates import WeightUpdates
 from rainpick.decisions.withdrawals import Withdrawals
+from rainpick.decisions.zone_coverage import Coverage, ZoneCoverage
 
 UPDATE_TIMER, SUBSCRIBE_TIMER, KEY_RANGE_TIMER = 0, 1, 2  # tokens of timers
 
@@ -64,6 +65,7 @@
     overload: OverloadProtection
     locality: Locality
     assignment: TableAssignment
+    zone_coverage: ZoneCoverage
     admission: AdmissionControl
     publisher: Publisher
     withdrawals: Withdrawals
@@ -113,10 +115,11 @@
         self.load = FleetLoad(fleet)
         self.capacity = WarmCapacity(fleet)
         self.slow_start = SlowStart(fleet)
-        self.outlier_detector = OutlierDetector(fleet, self.load)
         self.overload = OverloadProtection(fleet)
         self.locality = Locality(fleet)
         self.assignment = TableAssignment(fleet, self.locality)
+        self.zone_coverage = ZoneCoverage(fleet, self.assignment)
+        self.outlier_detector = OutlierDetector(fleet, self.load, self.zone_coverage)
         self.admission = AdmissionControl(fleet, self.load, self.capacity)
         self.publisher = Publisher(fleet)
         self.withdrawals = Withdrawals(fleet, self.publisher)
@@ -228,19 +231,23 @@
         self.readmit_if_all_are_ejected(warm)
         if not fleet.tables:
             self.assignment.create_tables()
+        self.zone_coverage.update()
+        self.zone_coverage.end_ejections(warm)
         if fleet.clock.now >= self.next_tick_us:
             self.tick()
         self.update_percentages(warm)
         self.locality.update(self.assignment.tables_by_zone)
         self.assignment.update()
+        self.zone_coverage.assign()
         update_concentration(fleet, self.assignment)
         draining_tables = self.withdrawals.publish()
-        populated, warm_populated = populated_tables(fleet.servers.values()), populated_tables(warm)
-        self.weight_updates.fill_empty_tables(populated, quotas.rule)
+        needed = self.zone_coverage.needed
+        coverage, warm_coverage = Coverage(fleet.servers.values(), needed), Coverage(warm, needed)
+        self.weight_updates.fill_empty_tables(coverage, quotas.rule)
         self.publish_admission()
         # Binds precede weight changes because an unbound proxy may still use a draining server.
         self.binding.publish()
-        self.weight_updates.protect_warming_servers(warm, populated, warm_populated, draining_tables)
+        self.weight_updates.protect_warming_servers(warm, coverage, warm_coverage, draining_tables)
         # Weight updates need more available messages at each proxy than other commands do: when a zone
         # returns, the starts of its servers are discovered one after another, and their weights take several
         # messages.
--- a/rainpick/decisions/outlier_detection.py
+++ b/rainpick/decisions/outlier_detection.py
@@ -15,6 +15,7 @@
 from rainpick.decisions.servers import GONE, MISSING, OBSERVATION_COLUMNS, ServerState
 from rainpick.decisions.settings import TICK_US
 from rainpick.decisions.sliding_window import BUCKETS, RECENT_BUCKETS, SlidingWindow
+from rainpick.decisions.zone_coverage import ZoneCoverage
 
 FAILURES_MIN = 4  # a server with fewer failures is not ejected
 EXCESS_FRACTION = 0.3  # an outlier fails more than this fraction of attempts beyond the others' failure ratio
@@ -75,14 +76,16 @@
 class OutlierDetector:
     """Evaluates load reports, marks servers as ejected, and ends ejections."""
 
-    def __init__(self, fleet: Fleet, load: FleetLoad):
+    def __init__(self, fleet: Fleet, load: FleetLoad, coverage: ZoneCoverage):
         self.fleet = fleet
         self.load = load
+        self.coverage = coverage
 
     def detect(self) -> None:
         """Eject the outliers that the load reports show, in descending order of their failures.
 
-        A server whose ejection would exceed the maximum ejected weight is skipped.
+        A server whose ejection would exceed the maximum ejected weight is skipped, and so is the last warm
+        one of a zone in a table whose proxies have routes that keep to the zone.
         """
         self.load.update_totals()
         self.remove_failing_missing_servers()
@@ -101,7 +104,8 @@
             row = observed[server]
             no_answers = unreachable or row.failures == row.attempts > 0
             weight = ejected_weight + server.endpoint.weight
-            if weight <= snapshot.listed_weight * self.ejected_fraction_max(no_answers):
+            is_within_limit = weight <= snapshot.listed_weight * self.ejected_fraction_max(no_answers)
+            if is_within_limit and not self.coverage.is_needed(server):
                 ejected_weight = weight
                 self.eject(server)
 
--- a/rainpick/decisions/settings.py
+++ b/rainpick/decisions/settings.py
@@ -34,6 +34,7 @@
     cross_zone_penalty: float
     admission: str  # admission mode of proxies: "silent" (no admission control), "ratio" or a rate
     default_retry_policy: int | None
+    has_own_zone_routes: bool  # whether a route may only use servers in the zone of the proxy
     proxies_by_zone: bool  # proxies join a director of their own zone
     expected_proxies: int
     default_table_size: float | None  # number of servers in the default table of a proxy
@@ -64,6 +65,11 @@
         return self.channel_lines_per_s * self.drain_grace_us / 1e6
 
 
+def is_any_true(value: Any) -> bool:
+    """Return whether a setting by route is true for any; a list of one route is stored as its value."""
+    return any(value) if isinstance(value, tuple) else value is True
+
+
 def read_settings(values: Mapping[str, Any]) -> DecisionSettings:
     """Return the settings in a flat map by dotted path; unknown paths are ignored."""
     get = values.get
@@ -80,6 +86,7 @@
         cross_zone_penalty=get("penalties.cross_zone", 0),
         admission=get("proxies.admit", "silent"),
         default_retry_policy=get("proxies.default_retry", None),
+        has_own_zone_routes=is_any_true(get("proxies.own_zone_routes", False)),
         proxies_by_zone=get("proxies.by_zone", False),
         expected_proxies=get("proxies.proxy_count", 0),
         default_table_size=get("proxies.default_size", None),
--- a/rainpick/decisions/table_assignment.py
+++ b/rainpick/decisions/table_assignment.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from collections.abc import Collection
 from functools import partial
 from zlib import crc32
 
@@ -14,7 +15,7 @@
 from rainpick.decisions.locality import Locality
 from rainpick.decisions.proxies import ProxyState
 from rainpick.decisions.servers import GONE, READY, ServerState
-from rainpick.decisions.tables import Table
+from rainpick.decisions.tables import Table, TableZone
 
 PROXIES_PER_TABLE = 7  # expected proxies for each table; with fewer in total there is a single table
 TABLE_SIZE_MULTIPLE = 2.5  # servers in a table, as a multiple of those in the default table of a proxy
@@ -46,6 +47,8 @@
         self.locality = locality
         self.tables_by_zone: dict[int | None, list[Table]] = {}
         self.tables_per_server = 1
+        # Zones of which a table needs a server, for routes that keep to the zone of the proxy.
+        self.needed_zones: Collection[TableZone] = ()
 
     def create_tables(self) -> None:
         """Create the tables: for each zone, or else for all zones together, one or several.
@@ -77,7 +80,10 @@
 
     def weight(self, server: ServerState, table: Table) -> float:
         """Return the target weight of a server in a table."""
-        locality = self.locality.spill[table.zone] if self.locality.is_remote(server, table) else 1
+        is_remote = self.locality.is_remote(server, table)
+        if is_remote and self.needed_zones:
+            is_remote = TableZone(table.number, server.endpoint.zone) not in self.needed_zones
+        locality = self.locality.spill[table.zone] if is_remote else 1
         warming = 1 if server.is_warm else table.warming_fraction * server.concentration_factor
         return server.effective_weight() * locality * warming
 
--- a/rainpick/decisions/tables.py
+++ b/rainpick/decisions/tables.py
@@ -2,9 +2,18 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 from rainpick.decisions.proxies import ProxyGroup
 
 
+class TableZone(NamedTuple):
+    """A table and the zone of a proxy that is bound to it, or is to be."""
+
+    table: int
+    zone: int
+
+
 class Table(ProxyGroup):
     """A table and the proxies that are bound to it; with ``zone`` None it serves all zones."""
 
--- a/rainpick/decisions/weight_updates.py
+++ b/rainpick/decisions/weight_updates.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Collection, Iterable, Sequence
+from collections.abc import Collection, Sequence
 
 from rainpick.decisions.fleet import Fleet
 from rainpick.decisions.proxies import ProxyGroup
@@ -16,16 +16,12 @@
 from rainpick.decisions.servers import GONE, ServerState
 from rainpick.decisions.table_assignment import TableAssignment
 from rainpick.decisions.tables import Table
+from rainpick.decisions.zone_coverage import Coverage
 from rainpick.model import SetWeight, SetWithdrawn
 
 IMMEDIATE_LOWERING_MULTIPLE = 1.5  # a published weight above this multiple of the target is lowered at once
 
 
-def populated_tables(servers: Iterable[ServerState]) -> set[int]:
-    """Return the numbers of the tables in which any of the servers is published without being withdrawn."""
-    return {number for server in servers if not server.withdrawn for number in server.published_weights}
-
-
 class WeightUpdates:
     """Updates published weights to the target weights, as far as the send queue allows."""
 
@@ -43,32 +39,31 @@
         self.pending_readmissions = list(self.fleet.servers.values())
         self.batch_due = True
 
-    def fill_empty_tables(self, populated: Collection[int], quota: Quota) -> None:
-        """Publish servers to used tables without servers; ``populated``: numbers of tables that have some."""
+    def fill_empty_tables(self, coverage: Coverage, quota: Quota) -> None:
+        """Publish servers to used tables without servers, or without one of a zone that they need."""
         for server in self.fleet.servers.values():
-            empty = [table for table in server.tables if table.used and table.number not in populated]
+            empty = [table for table in server.tables if table.used and coverage.lacks(table, server)]
             if empty:
                 self.publish(server, quota, empty)
 
     def protect_warming_servers(
         self,
         warm: Collection[ServerState],
-        populated: Collection[int],
-        warm_populated: Collection[int],
+        coverage: Coverage,
+        warm_coverage: Coverage,
         draining_tables: Collection[Table],
     ) -> None:
         """Lower excessive weights before the next tick, and publish warm servers to tables that have none.
 
-        ``populated`` are the numbers of tables that have a server, ``warm_populated`` the numbers of tables
-        that have a warm one. ``draining_tables`` are the tables in which a terminating server is still
-        published.
+        ``coverage`` is that by all servers, ``warm_coverage`` that by warm ones. ``draining_tables`` are the
+        tables in which a terminating server is still published.
         """
         for server in [server for server in self.fleet.servers.values() if server.percentage]:
             # An unused table needs no warm server, unless the server has to be readmitted anyway.
             without_warm = [
                 table
                 for table in server.tables
-                if server in warm and table.number not in warm_populated and (table.used or server.withdrawn)
+                if server in warm and warm_coverage.lacks(table, server) and (table.used or server.withdrawn)
             ]
             lowered = [table for table in server.tables if self.is_lowered(server, table)]
             # Lowered weights of servers that warm up may use the message and the capacity reserved for
@@ -78,7 +73,7 @@
             # up may use the reserve as well: such a table once waited 3 s, and then the other zone was lost.
             # In a table with a terminating server, the reserve is left to the removal of that server.
             for table in dict.fromkeys((*lowered, *without_warm)):
-                urgent = table in without_warm and table.number in populated
+                urgent = table in without_warm and table.number in coverage.tables
                 deferrable = table in draining_tables or server in warm and not urgent
                 quotas = self.publisher.quotas
                 self.publish(server, quotas.ejection if deferrable else quotas.rule, [table])
