Close a collector that sends 5,000 digits, as before: only lists and answers take them

The endpoint list, the relay's answers and its notifications keep the new way: there one number costs its own entry.

--- a/rainpick/node/frame_codec.py
+++ b/rainpick/node/frame_codec.py
@@ -103,7 +103,7 @@
     def parse_body(self, body: bytes) -> PeerMessage | None:
         """Parse the body of a frame; return None if the message has no effect."""
         try:
-            message = load_json(body)
+            message = load_json(body, parse_int=int)
         except ValueError as error:
             return self.end_stream(f"not JSON: {error}")
         kind = message.get("t")
--- a/rainpick/node/message_fields.py
+++ b/rainpick/node/message_fields.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any, Never
 
 Message = dict[str, Any]  # a JSON object
@@ -21,14 +21,20 @@
     """A message is invalid. The stream that carried it remains usable."""
 
 
-def load_json(data: bytes) -> Any:
+def parse_integer(text: str) -> float:
+    """Parse an integer; one beyond the range of floats may become an infinity."""
+    return int(text) if len(text) <= DIGIT_LIMIT else float(text)
+
+
+def load_json(data: bytes, parse_int: Callable[[str], float] = parse_integer) -> Any:
     """Parse strict JSON; ``ValueError`` for anything else, such as NaN, infinities or excessive nesting.
 
-    A number beyond the range of floats is valid JSON, and becomes an infinity: it is out of the range of each
-    field, so that it costs its own message and not the stream that carries it.
+    A number beyond the range of floats is valid JSON, but out of the range of each field, so that it costs
+    its own message and not the stream that carries it. With ``int`` as ``parse_int``, an integer of more
+    than ``sys.get_int_max_str_digits()`` digits is a ``ValueError``.
     """
     try:
-        return json.loads(data, parse_constant=_reject_constant, parse_int=_parse_integer)
+        return json.loads(data, parse_constant=_reject_constant, parse_int=parse_int)
     except RecursionError:
         raise ValueError("nested too deeply") from None
 
@@ -37,11 +43,6 @@
     raise ValueError(f"{text} is not JSON")
 
 
-def _parse_integer(text: str) -> float:
-    """Parse an integer; ``int`` itself rejects more digits than ``sys.get_int_max_str_digits()``."""
-    return int(text) if len(text) <= DIGIT_LIMIT else float(text)
-
-
 def number_field(message: Message, field: str, minimum: float, maximum: float) -> float:
     """Return a number from ``minimum`` to ``maximum``, which are finite. A bool is not a number."""
     value = message.get(field)
