--- a/rainpick/http1/bodies.py
+++ b/rainpick/http1/bodies.py
@@ -1,13 +1,10 @@
-"""Reads request bodies; their size is limited both as received and after decompression."""
+"""Decodes request bodies; their size is limited after decompression, too."""
 
 from __future__ import annotations
 
-import socket
 import zlib
 from http import HTTPStatus
 
-import h11
-
 READ_SIZE = 65_536  # bytes
 
 
@@ -19,25 +16,6 @@
         self.status = status
 
 
-def read_body(protocol: h11.Connection, sock: socket.socket, max_bytes: int) -> bytes:
-    """Read the body of a request; raise ``BodyError`` if it is larger than ``max_bytes``."""
-    chunks: list[bytes] = []
-    size = 0
-    while True:
-        event = protocol.next_event()
-        if event is h11.NEED_DATA:
-            protocol.receive_data(sock.recv(READ_SIZE))
-        elif isinstance(event, h11.Data):
-            size += len(event.data)
-            if size > max_bytes:
-                raise BodyError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, f"over {max_bytes} bytes")
-            chunks.append(bytes(event.data))
-        elif isinstance(event, h11.EndOfMessage):
-            return b"".join(chunks)
-        else:
-            raise ConnectionError("connection closed before the end of the request body")
-
-
 def decode_body(body: bytes, content_encoding: str, max_bytes: int) -> bytes:
     """Decode the content encoding; raise ``BodyError`` if it is unsupported or the body is malformed."""
     if content_encoding == "gzip":
--- a/rainpick/net/streams.py
+++ b/rainpick/net/streams.py
@@ -9,6 +9,7 @@
 import _thread
 import contextlib
 import fcntl
+import select
 import socket
 import struct
 import termios
@@ -19,12 +20,17 @@
 from typing import NamedTuple, Protocol
 
 from rainpick.net import StreamEnded
+from rainpick.net.buffer_budget import BufferBudget
+from rainpick.net.flow_control import FlowControl
 
 READ_SIZE = 16_384  # bytes
 SEND_BUFFER_SIZE = 65_536  # bytes; small, so that a peer that does not read is detected early
 NONBLOCKING_SEND = int(socket.MSG_DONTWAIT | socket.MSG_NOSIGNAL)
 ACCEPT_RETRY_S = 0.02  # pause after a failed accept
 UNSENT_LIMIT = 1_048_576  # bytes queued in addition to the socket buffer; a reading peer stays far below it
+INCOMPLETE_BYTES_MAX = 8 << 20  # bytes of all incomplete messages
+LARGE_MESSAGE_BYTES = 32_768
+EVICTION_REASON = "too many incomplete messages"
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # ``struct linger`` with a timeout of 0 s
 
 
@@ -34,6 +40,37 @@
     def receive(self, data: bytes) -> Sequence[object]:
         """Return the events that these bytes complete, in order. No event follows ``StreamEnded``."""
 
+    def buffered(self) -> int:
+        """Return the number of bytes of the incomplete message."""
+
+    def abandon(self, reason: str) -> Sequence[object]:
+        """Return the events that end the stream because its incomplete message is given up."""
+
+
+def is_reset(sock: socket.socket) -> bool:
+    """Return whether the peer has reset a connection, as it does if it closes with bytes left unread.
+
+    A peer that has only ended its writing may still read answers.
+    """
+    poll = select.poll()
+    try:
+        poll.register(sock, 0)  # errors are always reported
+        return bool(poll.poll(0))
+    except (OSError, ValueError):
+        return True
+
+
+class StreamLimits:
+    """Limits on the memory of messages, shared by streams.
+
+    ``budget`` limits the bytes of incomplete messages. ``large_messages`` is held while one of at least
+    ``LARGE_MESSAGE_BYTES`` is decoded and handled: decoded, it takes many times the memory.
+    """
+
+    def __init__(self, max_incomplete_bytes: int):
+        self.budget = BufferBudget(max_incomplete_bytes)
+        self.large_messages = threading.Lock()
+
 
 class PendingDelivery(NamedTuple):
     """A tracked message; ``end`` is the number of bytes written to the stream up to its last byte."""
@@ -48,6 +85,9 @@
     The reading thread passes each event of ``parser`` to ``on_event``, in order; the last one is
     ``StreamEnded``. The stream does not interpret any other event. Only the owner's thread may call
     ``write``, ``flush``, ``newest_delivered`` and ``close``.
+
+    ``limits`` bounds the memory of the messages of all streams that share it. ``flow`` counts the events that
+    the owner's thread has not handled yet, for owners that use it.
     """
 
     def __init__(
@@ -57,7 +97,11 @@
         peer: str,
         parser: StreamParser,
         on_event: Callable[[Stream, object], None],
+        limits: StreamLimits | None = None,
     ):
+        self.limits = limits or StreamLimits(INCOMPLETE_BYTES_MAX)
+        self.flow = FlowControl()
+        self.evicted = False
         self.number = number
         self.sock = sock
         self.peer = peer
@@ -94,6 +138,7 @@
         except Exception as error:  # noqa: BLE001 - an error in parsing a peer's bytes must end only its stream
             self.on_event(self, StreamEnded(b"", f"{type(error).__name__}: {error}"))
         finally:
+            self.limits.budget.remove(self)
             with self.close_lock:
                 self.reading = False
                 if self.closed:
@@ -103,13 +148,41 @@
         """Read and parse until the peer closes the connection or the parser ends the stream."""
         while True:
             data = self.sock.recv(READ_SIZE)
-            if not data:
-                self.on_event(self, StreamEnded(b"", "closed by the peer"))
+            if self.evicted:
+                for event in self.parser.abandon(EVICTION_REASON):
+                    self.on_event(self, event)
+                return
+            if not data or self.is_reset():
+                why = "closed by the peer without reading" if data else "closed by the peer"
+                self.on_event(self, StreamEnded(b"", why))
                 return
-            for event in self.parser.receive(data):
-                self.on_event(self, event)
-                if isinstance(event, StreamEnded):
-                    return
+            if self.parser.buffered() < LARGE_MESSAGE_BYTES:
+                has_ended = self._parse(data)
+            else:
+                with self.limits.large_messages:
+                    has_ended = self._parse(data)
+                    self.flow.wait_until_idle()
+            if has_ended:
+                return
+            self.limits.budget.update(self, self.parser.buffered())
+
+    def _parse(self, data: bytes) -> bool:
+        """Report the events that these bytes complete; return whether the stream has ended."""
+        for event in self.parser.receive(data):
+            self.on_event(self, event)
+            if isinstance(event, StreamEnded):
+                return True
+        return False
+
+    def evict(self) -> None:
+        """Make the reading thread give the incomplete message up and end the stream."""
+        self.evicted = True
+        with contextlib.suppress(OSError):
+            self.sock.shutdown(socket.SHUT_RD)
+
+    def is_reset(self) -> bool:
+        """Return whether the peer has closed the connection without reading everything."""
+        return is_reset(self.sock)
 
     def write(self, data: bytes, message: int | None = None) -> bool:
         """Send without blocking; return False if more than ``UNSENT_LIMIT`` bytes are queued for the peer.
@@ -174,6 +247,7 @@
             if self.closed:
                 return
             self.closed = True
+            self.flow.cancel()
             with contextlib.suppress(OSError):
                 if self.unsent:  # an orderly close would stay pending in the kernel if the peer never reads
                     self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
