Streams: bound what one peer may queue, buffer and leave unread, in both programs

Cause: all requests of a client went to one queue ahead of everybody else's, the loop emptied that queue before it did anything else, buffers of incomplete messages were bounded by client only, and replies to a client that doesn't read were kept without a limit. Now 16 events of a peer may wait, 256 are handled before the engine runs, incomplete messages share a budget, large ones are decoded one by one, requests wait while replies are unread and are dropped once the peer has reset its connection. Topic filters, properties and values of a frame are counted.

Ruled out: the interpreter lock (one thread at full speed delays others by under 0.1 s once the queue is fair).

--- a/rainpick/director/daemon.py
+++ b/rainpick/director/daemon.py
@@ -29,7 +29,7 @@
 from rainpick.director.status_frontend import status_handler
 from rainpick.http1.server import Server
 from rainpick.mqtt.server import PacketReader
-from rainpick.net.streams import Listener, Stream
+from rainpick.net.streams import INCOMPLETE_BYTES_MAX, Listener, Stream, StreamLimits
 from rainpick.otlp.receiver import metrics_handler
 from rainpick.sasp.session import DirectorSession
 from rainpick.settings import Settings, SettingsError
@@ -41,7 +41,7 @@
 LIST_FILE_POLL_S = 1.0
 JOIN_TIMEOUT_S = 5.0
 MAX_BACKLOG = 4096  # largest number of connections waiting to be accepted
-MAX_STATUS_CONNECTIONS = 64
+MAX_STATUS_CONNECTIONS = 1_024
 log = structlog.get_logger()
 
 
@@ -118,7 +118,7 @@
     def listen_sasp(self) -> Listener:
         """Open the frontend for members and proxies over SASP."""
         frame_most = self.settings.sasp.frame_most
-        accept_callback = self.make_accept_callback(lambda: DirectorSession(frame_most))
+        accept_callback = self.make_accept_callback(lambda: DirectorSession(frame_most), frame_most)
         return Listener(self.settings.listen.sasp, self.backlog(), accept_callback)
 
     def listen_mqtt(self) -> Listener | None:
@@ -127,24 +127,28 @@
         if address is None:
             return None
         packet_most = self.settings.mqtt.packet_most
-        return Listener(address, self.backlog(), self.make_accept_callback(lambda: PacketReader(packet_most)))
+        accept_callback = self.make_accept_callback(lambda: PacketReader(packet_most), packet_most)
+        return Listener(address, self.backlog(), accept_callback)
 
     def backlog(self) -> int:
         """Return the number of connections that may wait to be accepted."""
         return min(MAX_BACKLOG, self.settings.sasp.streams_most)
 
     def make_accept_callback(
-        self, make_parser: Callable[[], DirectorSession | PacketReader]
+        self, make_parser: Callable[[], DirectorSession | PacketReader], max_message_bytes: int
     ) -> Callable[[socket.socket, str], None]:
         """Return a callback that passes an accepted socket to the event loop as a stream."""
         inbox = self.event_loop.inbox
+        limits = StreamLimits(max(INCOMPLETE_BYTES_MAX, 2 * max_message_bytes))
 
         def on_event(stream: Stream, event: object) -> None:
+            stream.flow.acquire()
             # The two parsers return no other events than ``StreamEvent``.
             inbox.post(StreamReceived(stream, cast(StreamEvent, event)))
 
         def on_accept(sock: socket.socket, peer: str) -> None:
-            inbox.post(StreamOpened(Stream(next(self.stream_numbers), sock, peer, make_parser(), on_event)))
+            number = next(self.stream_numbers)
+            inbox.post(StreamOpened(Stream(number, sock, peer, make_parser(), on_event, limits)))
 
         return on_accept
 
--- a/rainpick/director/event_loop.py
+++ b/rainpick/director/event_loop.py
@@ -13,6 +13,7 @@
 
 from rainpick.decisions.director import Director
 from rainpick.director.context import Context, monotonic_us
+from rainpick.director.deferred_requests import RequestDeferral
 from rainpick.director.delivery import Delivery
 from rainpick.director.engine import Engine, OutgoingMessage
 from rainpick.director.inbox import Inbox
@@ -25,6 +26,7 @@
     LoadReportReceived,
     StatusQuery,
     StopRequested,
+    StreamEvent,
     StreamOpened,
     StreamReceived,
     TableActionRequest,
@@ -39,12 +41,14 @@
 from rainpick.director.table_actions import TableActions
 from rainpick.mqtt.server import PacketReader
 from rainpick.net import StreamEnded
+from rainpick.net.streams import Stream
 from rainpick.otlp.decoding import Batch
 from rainpick.sasp.session import AcceptedRequest, RejectedRequest
 from rainpick.settings import Settings
 
 CHECK_INTERVAL_US = 250_000  # interval between checks for unresponsive peers
 MAX_IDLE_US = 1_000_000  # longest wait for a message in the inbox
+MAX_MESSAGES_PER_ITERATION = 256  # handled before the engine runs again, however many wait
 SASP_REQUESTS = (AcceptedRequest, RejectedRequest)
 SASP_EVENTS = (AcceptedRequest, RejectedRequest, StreamEnded)
 
@@ -86,6 +90,7 @@
         self.status = StatusReader(
             context, self.inbox, self.sessions, self.intake, self.mqtt, self.follower, started_us
         )
+        self.deferral = RequestDeferral(self.sessions, self.handle_stream_event)
         self.next_check_us = started_us
         self.stopping = False
         self.failure: BaseException | None = None
@@ -135,8 +140,9 @@
         now = self.clock()
         times = [self.next_check_us, now + MAX_IDLE_US]
         delivery_us = self.delivery.poll_interval_us()
-        if delivery_us is not None:
-            times.append(now + delivery_us)
+        for interval_us in (delivery_us, self.deferral.poll_interval_us()):
+            if interval_us is not None:
+                times.append(now + interval_us)
         due = [self.follower.due_us()]
         if self.engine is not None:
             due += [self.engine.due_us(), self.aggregator.due_us(now)]
@@ -144,11 +150,13 @@
         return max(0.0, (min(times) - now) / 1e6)
 
     def run_iteration(self, idle_s: float) -> None:
-        """Dispatch all queued messages, run the engine once and send its messages."""
+        """Dispatch queued messages, a limited number at once, run the engine once and send its messages."""
         message = self.inbox.receive(idle_s)
+        handled = 0
         while message is not None:
             self.handlers[type(message)](message)
-            message = self.inbox.receive()
+            handled += 1
+            message = self.inbox.receive() if handled < MAX_MESSAGES_PER_ITERATION else None
         now = self.clock()
         self.follower.advance(now)
         engine = self.engine
@@ -158,6 +166,7 @@
                 self.push(message, now)
         self.mqtt.sender.update_observers()
         self.delivery.poll(now)
+        self.deferral.poll(now)
         if now >= self.next_check_us:
             self.next_check_us = now + CHECK_INTERVAL_US
             self.check_peers(now)
@@ -190,8 +199,11 @@
     def receive_from_stream(self, message: StreamReceived) -> None:
         """Pass an event of a stream's reader to the frontend that owns the stream."""
         stream, event = message
-        if not self.sessions.is_open(stream):
-            return  # the director has closed the stream; events that were already read are dropped
+        if self.sessions.is_open(stream):  # else the director has closed it; events already read are dropped
+            self.deferral.receive(stream, event)
+
+    def handle_stream_event(self, stream: Stream, event: StreamEvent) -> None:
+        """Pass an event of an open stream to its frontend."""
         if stream.number in self.mqtt.connections:
             self.sessions.mark_identified(stream)
             if not isinstance(event, SASP_REQUESTS):
--- a/rainpick/mqtt/decoder.py
+++ b/rainpick/mqtt/decoder.py
@@ -27,6 +27,7 @@
 from rainpick.mqtt.properties import read_properties
 from rainpick.mqtt.wire import ByteReader
 
+MAX_FILTERS_PER_PACKET = 1_024
 _MAX_LENGTH_BYTES = 4  # maximum encoded size of the remaining length in the fixed header
 _PUBLISH = PacketType.PUBLISH.value
 
@@ -157,12 +158,20 @@
     return Puback(packet_id, reason_code)
 
 
+def _check_filter_count(count: int) -> None:
+    """Raise ``MqttError`` if a packet has too many topic filters: each takes many times its bytes."""
+    if count > MAX_FILTERS_PER_PACKET:
+        reason = f"over {MAX_FILTERS_PER_PACKET} topic filters in one packet"
+        raise MqttError(reason, ReasonCode.QUOTA_EXCEEDED)
+
+
 def _decode_subscribe(reader: ByteReader) -> Subscribe:
     packet_id = _read_subscription_header(reader)
     filters = []
     while not reader.at_end:
         topic_filter = reader.read_string()
         filters.append((topic_filter, reader.read_uint8()))
+        _check_filter_count(len(filters))
     _check_subscription(packet_id, len(filters))
     return Subscribe(packet_id, tuple(filters))
 
@@ -172,6 +181,7 @@
     filters = []
     while not reader.at_end:
         filters.append(reader.read_string())
+        _check_filter_count(len(filters))
     _check_subscription(packet_id, len(filters))
     return Unsubscribe(packet_id, tuple(filters))
 
--- a/rainpick/mqtt/properties.py
+++ b/rainpick/mqtt/properties.py
@@ -79,6 +79,7 @@
     0x29: PropertyDefinition("subscription_ids", PropertyFormat.BYTE),
     0x2A: PropertyDefinition("shared", PropertyFormat.BYTE),
 }
+MAX_PROPERTIES = 256  # of one packet; only user properties may come that often
 REPEATABLE_PROPERTIES = frozenset({"user", "subscription_id"})
 IDENTIFIERS = {
     definition.name: PropertyCode(identifier, definition.format)
@@ -137,6 +138,7 @@
 def read_properties(reader: ByteReader) -> Properties:
     """Read the properties of a packet; raise ``MqttError`` for an unknown or duplicate property."""
     properties: Properties = {}
+    count = 0
     length = reader.read_variable_byte_integer()
     end = reader.position + length
     if end > len(reader.data):
@@ -146,6 +148,9 @@
         if identifier not in PROPERTIES:
             raise MqttError(f"no property has the identifier {identifier:#04x}")
         name, value_format = PROPERTIES[identifier]
+        count += 1
+        if count > MAX_PROPERTIES:
+            raise MqttError(f"over {MAX_PROPERTIES} properties in one packet", ReasonCode.QUOTA_EXCEEDED)
         value = _READERS[value_format](reader)
         if name in REPEATABLE_PROPERTIES:
             properties.setdefault(name, []).append(value)
--- a/rainpick/mqtt/server.py
+++ b/rainpick/mqtt/server.py
@@ -73,6 +73,14 @@
             packets.append(error)
         return packets
 
+    def buffered(self) -> int:
+        """Return the number of bytes of the incomplete packet."""
+        return len(self.framer.buffer)
+
+    def abandon(self, reason: str) -> list[Packet | MqttError]:
+        """End the connection because its incomplete packet is given up."""
+        return [MqttError(reason, ReasonCode.QUOTA_EXCEEDED)]
+
 
 class ConnectionState(IntEnum):
     """State of a connection. There is none for a closed connection, which receives no more packets."""
--- a/rainpick/node/frame_codec.py
+++ b/rainpick/node/frame_codec.py
@@ -23,6 +23,7 @@
 
 LENGTH_SIZE = 4  # bytes
 COLLECTOR_FRAME_LIMIT = 1 << 20  # bytes
+VALUE_LIMIT = 1_024  # values in a message; many short ones take far more memory than their bytes
 PEER_FRAME_LIMIT = 4_096  # bytes; before the peer joins, when only ``hb`` and ``telemetry`` are valid
 
 
@@ -94,6 +95,14 @@
                     messages.append(message)
         return messages
 
+    def buffered(self) -> int:
+        """Return the number of bytes of the incomplete frame."""
+        return len(self.buffer)
+
+    def abandon(self, reason: str) -> list[PeerMessage]:
+        """End the stream because its incomplete frame is given up."""
+        return [self.end_stream(reason)]
+
     def end_stream(self, reason: str) -> StreamEnded:
         """End the stream. The peer is sent a ``reject``, except a collector, which is never sent one."""
         self.ended = True
@@ -102,6 +111,9 @@
 
     def parse_body(self, body: bytes) -> PeerMessage | None:
         """Parse the body of a frame; return None if the message has no effect."""
+        if max(body.count(b","), body.count(b":")) > VALUE_LIMIT:
+            reason = f"over {VALUE_LIMIT} values"
+            return self.end_stream(reason) if self.zone is None else MalformedReport(reason)
         try:
             message = load_json(body, parse_int=int)
         except ValueError as error:
--- a/rainpick/sasp/framing.py
+++ b/rainpick/sasp/framing.py
@@ -57,6 +57,13 @@
             raise
         return Frame(message_id, message)
 
+    def abandoned(self, reason: str) -> FramingError:
+        """Return the error for the incomplete message, with its id if its header has arrived."""
+        if len(self.buffer) < MESSAGE_HEADER.size:
+            return FramingError(reason)
+        message_id = MESSAGE_HEADER.unpack_from(self.buffer)[-1]
+        return FramingError(reason, message_id=message_id)
+
     def _check_header(self) -> tuple[int, int]:
         """Return length and id of the first buffered message; ``FramingError`` if its header is invalid."""
         component_type, size, version, length, message_id = MESSAGE_HEADER.unpack_from(self.buffer)
--- a/rainpick/sasp/session.py
+++ b/rainpick/sasp/session.py
@@ -73,6 +73,14 @@
                 break
         return events
 
+    def buffered(self) -> int:
+        """Return the number of bytes of the incomplete message."""
+        return len(self._reader.buffer)
+
+    def abandon(self, reason: str) -> list[DirectorEvent]:
+        """End the stream because its incomplete message is given up, with a reply if its header is known."""
+        return [self._end_after_framing_error(self._reader.abandoned(reason))]
+
     def _next_event(self) -> DirectorEvent | None:
         """Return the event of the next message; None until all its bytes have been received."""
         try:
