Withdraw a server that drains from pinned tables, whether it was withdrawn or removed

Cause: a deferred withdrawal ends as a weight of 0 in each table and no command of withdrawal; the pin asked for withdrawals alone and restored its weight. Ruled out: lost messages, as proxies held exactly what was published. The pin now asks one question, is the server closed to new requests, and is published again when the list names its servers.

--- a/rainpick/director/list_follower.py
+++ b/rainpick/director/list_follower.py
@@ -95,15 +95,26 @@
                 state = STATE_NAMES[entry.state]
                 self.context.log.info("list", server=format_address(cast(Key, entry.address)), state=state)
             self.context.engine.update_endpoints(update)
+            self.update_pinned_tables(update)
             self.cache_list(now)
 
+    def update_pinned_tables(self, update: model.EndpointUpdate) -> None:
+        """Publish the pinned tables again that have servers of an update of the list.
+
+        ``Director`` gives no command about a pinned table if its own version of the table lacks the server.
+        """
+        if self.pins is None:
+            return
+        for table in self.pins.tables_with({cast(Key, entry.address) for entry in update.endpoints}):
+            self.context.started_engine.table_changed(table)
+
     def start(self, now: int) -> None:
         """Start ``Director`` with the current list, and join the registered proxies."""
         engine = self.context.engine = Engine(self.settings, self.seed, now, self.director_factory)
         if self.settings.record.folder is not None:
             self.recorder = self.start_recorder(self.settings.record.folder, now)
             engine.stepper.on_step = self.recorder.step
-        self.pins = TablePins(self.is_listed, engine.tables.withdrawn.__contains__, self.is_warm)
+        self.pins = TablePins(self.is_listed, self.is_closed, self.is_warm)
         engine.tables.lines_to_publish = self.pins.lines_to_publish
         update = self.membership.initial_update()
         engine.update_endpoints(update)
@@ -152,6 +163,15 @@
         entry = self.context.started_engine.listed.get(server)
         return entry is not None and entry.state != model.EndpointState.GONE
 
+    def is_closed(self, server: Key) -> bool:
+        """Return whether a listed server is closed to new requests: it drains or is withdrawn.
+
+        A server that drains need not be withdrawn: it may have been removed from its tables instead.
+        """
+        engine = self.context.started_engine
+        is_draining = engine.listed[server].state == model.EndpointState.DRAINING
+        return is_draining or server in engine.tables.withdrawn
+
     def is_warm(self, server: Key) -> bool:
         """Return whether a listed server has been running for at least ``rules.warm_after``."""
         started_us = self.context.started_engine.listed[server].started_us
--- a/rainpick/publish/pins.py
+++ b/rainpick/publish/pins.py
@@ -1,14 +1,14 @@
 """Tables that operators pinned to an earlier version.
 
-A pinned table is published as a new version with the entries of the earlier one. Servers that have been
-withdrawn since then stay withdrawn, and servers that have left the endpoint list since then are omitted. A
+A pinned table is published as a new version with the entries of the earlier one. Servers that drain or have
+been withdrawn since then are withdrawn, and servers that have left the endpoint list are omitted. A
 server that is not warmed up gets at most the weight that the decision modules give it. If no available server
 of the pin is left, the unpinned table is published.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Set
 from typing import NamedTuple
 
 from rainpick.director.addresses import Key
@@ -36,18 +36,18 @@
 class TablePins:
     """All pinned tables of a director.
 
-    The callbacks return the current state of a server: whether it is in the endpoint list, whether it is
-    withdrawn, and whether it is warmed up.
+    The callbacks return the current state of a server: whether it is in the endpoint list, and of a listed
+    one whether it is closed to new requests, because it drains or is withdrawn, and whether it is warmed up.
     """
 
     def __init__(
         self,
         is_listed: Callable[[Key], bool],
-        is_withdrawn: Callable[[Key], bool],
+        is_closed: Callable[[Key], bool],
         is_warmed_up: Callable[[Key], bool],
     ):
         self.is_listed = is_listed
-        self.is_withdrawn = is_withdrawn
+        self.is_closed = is_closed
         self.is_warmed_up = is_warmed_up
         self.by_table: dict[int, PinnedVersion] = {}
         self.idle_tables: set[int] = set()  # pinned tables whose pins have no available servers
@@ -77,6 +77,10 @@
         self.idle_tables.discard(table)
         return self.by_table.pop(table)
 
+    def tables_with(self, servers: Set[Key]) -> list[int]:
+        """Return the numbers of the tables that are pinned to a version with any of these servers."""
+        return [table for table, pin in self.by_table.items() if not servers.isdisjoint(pin.lines)]
+
     def lines_to_publish(self, table: int, unpinned_lines: Lines) -> Lines:
         """Return the entries to publish for a table: those of its pin, or ``unpinned_lines`` without one.
 
@@ -98,7 +102,7 @@
         for server, pinned in pin.lines.items():
             if not self.is_listed(server):
                 continue
-            if self.is_withdrawn(server):
+            if self.is_closed(server):
                 lines[server] = WITHDRAWN_ENTRY
             elif pinned[0] and self.is_warmed_up(server):
                 lines[server] = pinned
--- a/tests/loopback/test_mqtt.py
+++ b/tests/loopback/test_mqtt.py
@@ -10,7 +10,9 @@
 from paho.mqtt import client as paho
 from paho.mqtt.enums import CallbackAPIVersion
 
+from rainpick import model
 from rainpick.cli import main
+from rainpick.decisions.director import Director
 from rainpick.mqtt import codec
 from rainpick.publish import payloads, topics
 from rainpick.publish.follower import TableFollower
@@ -236,6 +238,33 @@
     wait_for_exact_tables(daemon, proxy)
 
 
+class RemovingDirector(Director):
+    """Removes servers from tables in place of withdrawing them, as if the withdrawals were deferred."""
+
+    def step(self, now, events):
+        commands = []
+        for command in super().step(now, events):
+            if isinstance(command, model.SetWithdrawn) and command.withdrawn:
+                numbers = [table.number for table in self.fleet.tables]
+                commands += [model.SetWeight(number, command.server, 0.0) for number in numbers]
+            else:
+                commands.append(command)
+        return commands
+
+
+def test_a_server_that_drains_leaves_a_pinned_table_however_it_is_removed():
+    """Guards against a pin that keeps a server open: it was removed from its tables, but never withdrawn."""
+    with running_with_mqtt(director_factory=RemovingDirector) as daemon:
+        fleet = MemberClient(daemon, *range(9001, 9005))
+        proxy = Proxy(daemon, "edge-1").until(lambda weights: len(weights) == 4)
+        assert run_tables(daemon, "pin", "0", "--who", "staff", "--why", "x")[0] == 0
+        for port in (9001, 9002):
+            fleet.quiesce(port)
+        proxy.until(lambda weights: set(weights) == {9003, 9004})
+        fleet.quiesce(9002, on=False)
+        proxy.until(lambda weights: 9002 in weights)
+
+
 def test_receive_maximum_is_respected_and_waiting_changes_are_sent_as_one_message(daemon):
     fleet = MemberClient(daemon, *range(9001, 9011))
     proxy = Proxy(daemon, "edge-1", receive_maximum=1)
