--- a/rainpick/http1/request_reader.py
+++ b/rainpick/http1/request_reader.py
@@ -145,7 +145,7 @@
                 HTTPStatus.REQUEST_TIMEOUT, f"not complete within {REQUEST_TIMEOUT_S:g} s"
             ) from None
         if self.evicted:
-            if self.begun_s is None:
+            if self.begun_s is None and not data:
                 raise ConnectionAbortedError("evicted while idle")
             raise RequestError(HTTPStatus.SERVICE_UNAVAILABLE, "too many incomplete requests")
         if self.begun_s is None:
