Give up stalled messages, not busy or slow peers: order by message, at least the mean size

Found by reading the change again, seen by no user: a peer that always has the begin of its next message in the buffer counted as the oldest, as did one with a few bytes, so that sound peers could be given up for stalled ones; and a peer that reads its replies slowly was closed 2 s after its first byte was left over, however much it had read since.

The budget now begins anew with each message and gives up messages of at least the mean size only; a deferred peer is closed when nothing was accepted for sasp.write_stall. A field of WriteFence that nobody read is gone.

--- a/rainpick/decisions/write_fencing.py
+++ b/rainpick/decisions/write_fencing.py
@@ -78,7 +78,6 @@
         """
         self.fleet = fleet
         self.leases = leases
-        self.assigned_us = assigned_us
         self.written_us = fleet.clock.now  # when the withdrawal was first written
         self.stopped_us: float = fleet.clock.now  # latest time at which a proxy was known to have stopped
         self.unconfirmed = {
--- a/rainpick/director/deferred_requests.py
+++ b/rainpick/director/deferred_requests.py
@@ -25,6 +25,7 @@
 
     stream: Stream
     since_us: int
+    unsent: int  # bytes that the socket had not accepted when it was last tried
     events: deque[StreamEvent] = field(default_factory=deque)
 
 
@@ -60,7 +61,7 @@
         stream.flow.release()
         if stream.unsent and self.sessions.is_open(stream):
             now = self.sessions.context.clock()
-            self.deferred.setdefault(stream.number, DeferredRequests(stream, now))
+            self.deferred.setdefault(stream.number, DeferredRequests(stream, now, len(stream.unsent)))
 
     def poll_interval_us(self) -> int | None:
         """Return the time until ``poll`` is due, in microseconds; None if no peer is waited for."""
@@ -72,6 +73,8 @@
         for number, waiting in list(self.deferred.items()):
             stream = waiting.stream
             stream.flush()
+            if len(stream.unsent) < waiting.unsent:
+                waiting.since_us, waiting.unsent = now, len(stream.unsent)
             if stream.is_reset():
                 self.sessions.close(stream, "closed by the peer without reading")
             elif not stream.unsent:
--- a/rainpick/net/buffer_budget.py
+++ b/rainpick/net/buffer_budget.py
@@ -16,8 +16,8 @@
 class BufferBudget:
     """A limit on the bytes of incomplete messages of all connections together.
 
-    If it is exceeded, the messages that began first are given up. A peer that goes on writing completes its
-    message while it is among the newest.
+    If it is exceeded, messages of at least the mean size are given up, those that began first before others.
+    A peer that goes on writing completes its message while it is among the newest.
 
     >>> class Connection:
     ...     def evict(self): print("evicted")
@@ -34,14 +34,17 @@
         self.total = 0
         self.evictions = 0
 
-    def update(self, holder: Holder, size: int) -> None:
-        """Set the number of bytes that a connection buffers; evict others or itself beyond the limit."""
+    def update(self, holder: Holder, size: int, is_next: bool = False) -> None:
+        """Set the number of bytes that a connection buffers; evict others or itself beyond the limit.
+
+        ``is_next``: the bytes belong to another message than those before, which is complete.
+        """
         with self.lock:
             self.total += size - self.sizes.get(holder, 0)
+            if is_next or not size:
+                self.sizes.pop(holder, None)
             if size:
                 self.sizes[holder] = size
-            else:
-                self.sizes.pop(holder, None)
             evicted = self.take_oldest()
         for oldest in evicted:
             oldest.evict()
@@ -50,7 +53,8 @@
         """Remove and return the messages to give up. The caller must hold the lock."""
         evicted = []
         while self.total > self.limit and self.sizes:
-            oldest = next(iter(self.sizes))
+            mean = self.total / len(self.sizes)
+            oldest = next(holder for holder, size in self.sizes.items() if size >= mean)
             self.total -= self.sizes.pop(oldest)
             self.evictions += 1
             evicted.append(oldest)
--- a/rainpick/net/streams.py
+++ b/rainpick/net/streams.py
@@ -157,22 +157,23 @@
                 self.on_event(self, StreamEnded(b"", why))
                 return
             if self.parser.buffered() < LARGE_MESSAGE_BYTES:
-                has_ended = self._parse(data)
+                newest = self._parse(data)
             else:
                 with self.limits.large_messages:
-                    has_ended = self._parse(data)
+                    newest = self._parse(data)
                     self.flow.wait_until_idle()
-            if has_ended:
+            if isinstance(newest, StreamEnded):
                 return
-            self.limits.budget.update(self, self.parser.buffered())
+            self.limits.budget.update(self, self.parser.buffered(), is_next=newest is not None)
 
-    def _parse(self, data: bytes) -> bool:
-        """Report the events that these bytes complete; return whether the stream has ended."""
-        for event in self.parser.receive(data):
-            self.on_event(self, event)
-            if isinstance(event, StreamEnded):
-                return True
-        return False
+    def _parse(self, data: bytes) -> object:
+        """Report the events that these bytes complete; return the newest, or None if there is none."""
+        newest = None
+        for newest in self.parser.receive(data):
+            self.on_event(self, newest)
+            if isinstance(newest, StreamEnded):
+                break
+        return newest
 
     def evict(self) -> None:
         """Make the reading thread give the incomplete message up and end the stream."""
