Log what fills the channel: lines by kind, held-back writes, lines of unbound proxies

The channel's state now says so: lines written by kind of command, writes held back by kind and limit, unacknowledged lines of unbound proxies, acknowledgements that no message awaits. Counters of a few increments a command; no decision reads them.

--- a/rainpick/decisions/publisher.py
+++ b/rainpick/decisions/publisher.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 
 from rainpick.decisions.channel_progress import ChannelProgress
+from rainpick.decisions.channel_statistics import ChannelStatistics, Limit
 from rainpick.decisions.fleet import Fleet
 from rainpick.decisions.proxies import MessageLimit, ProxyGroup, ProxyState, SentMessage
 from rainpick.decisions.reply_costs import ReplyCosts
@@ -46,6 +47,7 @@
 UPDATE_MESSAGES_MIN = 3
 EJECTION_MESSAGES_MIN = 2
 ADMISSION_MESSAGES_MIN = 2
+RETRANSMISSION_KIND = "retransmission"  # in statistics: lines of calls that are sent again
 
 TableCommand = SetWeight | SetWithdrawn | SetAdmission
 
@@ -54,14 +56,15 @@
     """Return the quota of the send queue for each kind of command."""
     limit = settings.channel_lines_max
     capacity = min(limit, QUEUE_GRACE_FRACTION * settings.grace_lines)
-    bind = Quota(1, limit - (1 + UPDATE_QUEUE_FRACTION) / 2 * capacity, 1.0)
+    bind = Quota(1, limit - (1 + UPDATE_QUEUE_FRACTION) / 2 * capacity, 1.0, "bind")
+    update_reserve = limit - UPDATE_QUEUE_FRACTION * capacity
     return Quotas(
-        rule=Quota(1, 0, None),
-        drain=Quota(1, 0, 1.0),
+        rule=Quota(1, 0, None, "rule"),
+        drain=Quota(1, 0, 1.0, "drain"),
         bind=bind,
-        ejection=bind._replace(messages=EJECTION_MESSAGES_MIN),
-        admission=Quota(ADMISSION_MESSAGES_MIN, 0, None),
-        update=Quota(UPDATE_MESSAGES_MIN, limit - UPDATE_QUEUE_FRACTION * capacity, UPDATE_QUEUE_FRACTION),
+        ejection=bind._replace(messages=EJECTION_MESSAGES_MIN, kind="ejection"),
+        admission=Quota(ADMISSION_MESSAGES_MIN, 0, None, "admission"),
+        update=Quota(UPDATE_MESSAGES_MIN, update_reserve, UPDATE_QUEUE_FRACTION, "update"),
     )
 
 
@@ -92,6 +95,7 @@
                 SILENT_QUEUE_FRACTION * settings.channel_lines_max,
             ),
         )
+        self.statistics = ChannelStatistics()
         self.expired_lines = 0  # number of lines so far whose acknowledgements were overdue
         self.expired_us = fleet.clock.now  # when overdue messages were last looked for
         self.head_lines = settings.message_head_lines
@@ -106,7 +110,9 @@
     def acknowledged(self, event: Acknowledged) -> None:
         """Record that a proxy has applied a message and all messages before it."""
         if proxy := self.fleet.proxies.get(event.proxy):
-            for message in proxy.acknowledge(event.nonce):
+            messages = proxy.acknowledge(event.nonce)
+            self.statistics.unmatched_acknowledgements += not messages
+            for message in messages:
                 self.queue.acknowledge(message.nonce, message.lines)
 
     def retransmitted(self, nonce: int) -> None:
@@ -134,7 +140,9 @@
             proxy = self.fleet.proxies[number]
             proxy.insert_message(previous_nonce, SentMessage(nonce, lines))
             proxy.message_tokens -= 1
-        self.queue.insert(previous_nonce, nonce, sum(costs.values()))
+        lines = sum(costs.values())
+        self.statistics.count_written(RETRANSMISSION_KIND, lines)
+        self.queue.insert(previous_nonce, nonce, lines)
         return nonce
 
     def count_second_messages(self, nonce: int, numbers: Iterable[int], acknowledgements: int) -> None:
@@ -206,17 +214,31 @@
         it.
         """
         cost = self.cost(groups, lines)
-        if not self.queue.fits(cost, quota) or not self.is_allowed(groups, quota):
+        if limit := self.exceeded_limit(groups, cost, quota):
+            self.statistics.count_held_back(quota.kind, limit)
             return False
+        self.statistics.count_written(quota.kind, cost)
         self.queue.plan(cost)
         self.commands += commands
         for group in groups:
             group.pending_lines += lines if group.proxies else 0
         return True
 
+    def exceeded_limit(self, groups: Sequence[ProxyGroup], cost: int, quota: Quota) -> Limit | None:
+        """Return the limit that does not allow a message of ``cost`` lines in total to the groups now."""
+        limit = self.queue.exceeded_limit(cost, quota)
+        if limit is None and not self.is_allowed(groups, quota):
+            limit = Limit.MESSAGES
+        return limit
+
     def can_bind(self, proxy: ProxyState, lines: int) -> bool:
         """Return whether a proxy may be bound with a message of ``lines`` lines."""
-        return self.queue.fits(lines, self.quotas.bind) and self.available_messages(proxy) >= 1
+        limit = self.queue.exceeded_limit(lines, self.quotas.bind)
+        if limit is None and self.available_messages(proxy) < 1:
+            limit = Limit.MESSAGES
+        if limit:
+            self.statistics.count_held_back(self.quotas.bind.kind, limit)
+        return limit is None
 
     def bind(self, proxy: ProxyState, table: Table, lines: int) -> None:
         """Bind a proxy to a table with a message of ``lines`` lines."""
@@ -224,6 +246,7 @@
         self.written.append((proxy, lines + proxy.group.pending_lines))
         table.proxies[proxy.number] = proxy.group.proxies.pop(proxy.number)
         proxy.group = table
+        self.statistics.count_written(self.quotas.bind.kind, lines)
         self.queue.plan(lines)
 
     def finish(self, all_proxies: bool = False) -> None:
--- a/rainpick/decisions/send_queue.py
+++ b/rainpick/decisions/send_queue.py
@@ -12,10 +12,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Hashable
+from collections.abc import Hashable, Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 from rainpick.decisions.channel_progress import ChannelProgress
+from rainpick.decisions.channel_statistics import Limit
 
 REPLIES_MAX = 1_024  # replies kept; a reply is acknowledged long before this many newer ones are written
 
@@ -26,6 +28,7 @@
     messages: int  # each receiving proxy must still be allowed this many messages by its message limit
     reserve: float  # number of lines, out of the send queue's limit, that are left to other commands
     window_fraction: float | None  # fraction of the send window that may be filled; None: not limited by it
+    kind: str = ""  # the name of the kind of command in statistics
 
 
 class Quotas(NamedTuple):
@@ -53,6 +56,10 @@
     silent_s: float = 0.0  # seconds without an acknowledgement although lines wait; 0 if none wait
     expired: int = 0  # number of lines so far whose acknowledgements were overdue
     suspended: bool = False  # whether calls do not reach the channel
+    unbound_lines: int = 0  # number of unacknowledged lines of messages to unbound proxies
+    written: Mapping[str, int] = MappingProxyType({})  # number of lines so far by kind of command
+    held_back: Mapping[str, int] = MappingProxyType({})  # writes held back so far by kind and limit
+    unmatched: int = 0  # number of acknowledgements so far of messages that were not counted
 
 
 class Reply(NamedTuple):
@@ -114,12 +121,16 @@
         >>> [queue.fits(lines, Quota(1, 0, window)) for lines, window in ((15, 1.0), (16, 1.0), (16, None))]
         [True, False, True]
         """
+        return self.exceeded_limit(lines, quota) is None
+
+    def exceeded_limit(self, lines: float, quota: Quota) -> Limit | None:
+        """Return the limit that does not allow ``lines`` lines now; None if they may be written."""
         if lines > self.available_lines() - quota.reserve:
-            return False
+            return Limit.QUEUE
         ahead = self.backlog() + self.planned
-        return (
-            quota.window_fraction is None or not ahead or lines <= quota.window_fraction * self.window - ahead
-        )
+        if quota.window_fraction is None or not ahead or lines <= quota.window_fraction * self.window - ahead:
+            return None
+        return Limit.WINDOW
 
     def plan(self, lines: float) -> None:
         """Add a number of lines to the reply that is being composed."""
--- a/rainpick/node/channel_monitor.py
+++ b/rainpick/node/channel_monitor.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from typing import Any
 
 from rainpick.decisions.send_queue import ChannelState
@@ -13,12 +14,15 @@
 
 OBSERVATION_PERIOD_US = 1_000_000
 GRACE_USED_WARNING = 0.8  # fraction of the drain grace above which a warning is logged
-PEAK_FIELDS = "waiting", "backlog", "unbound", "grace_used", "silent_s"
+PEAK_FIELDS = "waiting", "backlog", "unbound", "unbound_lines", "grace_used", "silent_s"
 
 
 def rounded(channel: ChannelState) -> dict[str, Any]:
-    """Return the fields of a channel state, rounded for the log."""
-    return {name: round(value, 3) for name, value in channel._asdict().items()}
+    """Return the fields of a channel state, numbers rounded for the log."""
+    return {
+        name: value if isinstance(value, Mapping) else round(value, 3)
+        for name, value in channel._asdict().items()
+    }
 
 
 class ChannelMonitor:
