--- a/tests/takeover/day.py
+++ b/tests/takeover/day.py
@@ -6,15 +6,20 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from dataclasses import dataclass, replace
 from heapq import heappop, heappush
 from itertools import count
+from zlib import crc32
 
 from rainpick import model
 from rainpick.decisions.director import Director
 from rainpick.director.stepper import Stepper
 from tests.takeover.channel import Channel, ProxyTables
 
+ATTEMPTS_PER_REPORT = 2  # attempts of a proxy at each server that it uses, in each report
+SERVER_LATENCY_US = 150_000
+
 
 @dataclass(frozen=True)
 class Wave:
@@ -25,6 +30,20 @@
     gone_after_us: int = 4_000_000  # time from the start of a server's drain until it is gone
 
 
+@dataclass(frozen=True)
+class Failure:
+    """A time during which some servers fail all requests: a fraction of all, or those of a zone."""
+
+    at_us: int
+    until_us: int
+    fraction: float = 1.0
+    zone: int | None = None
+
+    def includes(self, endpoint: model.Endpoint, now: int) -> bool:
+        is_drawn = crc32(endpoint.address.encode()) % 1000 < 1000 * self.fraction
+        return self.at_us <= now < self.until_us and is_drawn and self.zone in (None, endpoint.zone)
+
+
 @dataclass(frozen=True)
 class DayConfig:
     """The settings and faults of a day."""
@@ -51,6 +70,8 @@
         Wave(12_500_000, 10),
     )
     list_interval_us: int = 500_000
+    failures: tuple[Failure, ...] = ()  # without any, no load is reported
+    report_interval_us: int = 400_000
     seed: int = 1
 
     def replace(self, **changes) -> DayConfig:
@@ -157,6 +178,8 @@
         self.late_drains = 0
         self.empty_since: dict[int, int] = {}  # by proxy without a usable server, the time when that began
         self.longest_empty_us = 0
+        if config.failures:
+            self.schedule(config.report_interval_us, self.report_load)
         self.directors = [DirectorInstance(self, number) for number in range(config.directors)]
 
     def server(self, name: str, started_us: int, state: int = model.EndpointState.READY) -> model.Endpoint:
@@ -225,6 +248,27 @@
             new = self.server(f"s-{next(self.server_numbers):04x}", self.now)
             self.schedule(self.now + notice_us + 500_000, lambda new=new: self.change(new))
 
+    def report_load(self) -> None:
+        """Report to each director what its proxies met at each server that they use."""
+        self.schedule(self.now + self.config.report_interval_us, self.report_load)
+        for director in self.directors:
+            if director.alive:
+                users = Counter(
+                    (server, tables.zone)
+                    for tables in director.channel.joined.values()
+                    for server in tables.usable()
+                )
+                director.receive(*(self.load_report(*key, number) for key, number in users.items()))
+
+    def load_report(self, server: str, zone: int, users: int) -> model.ServerLoadReport:
+        attempts = ATTEMPTS_PER_REPORT * users
+        endpoint = self.endpoints[server]
+        failed = any(failure.includes(endpoint, self.now) for failure in self.config.failures)
+        latency_us = 0 if failed else SERVER_LATENCY_US
+        return model.ServerLoadReport(
+            server, zone, attempts, attempts * failed, latency_us, self.config.report_interval_us, ()
+        )
+
     def join(self, proxy: int, director: DirectorInstance) -> None:
         proxy_tables = self.proxies[proxy]
         proxy_tables.joined_us = self.now
@@ -250,9 +294,9 @@
                 self.random.randrange(config.zones), self.random.lognormvariate(0, 0.8)
             )
             local = [name for name, endpoint in self.endpoints.items() if endpoint.zone == proxy_tables.zone]
-            proxy_tables.weights = dict.fromkeys(
-                self.random.sample(local or list(self.endpoints), config.default_table_size), 1.0
-            )
+            usable = local or list(self.endpoints)
+            size = min(config.default_table_size, len(usable))
+            proxy_tables.weights = dict.fromkeys(self.random.sample(usable, size), 1.0)
             self.proxies[proxy] = proxy_tables
             director = self.directors[proxy % config.directors]
             director.channel.join(proxy, proxy_tables)
--- a/tests/takeover/test_takeover.py
+++ b/tests/takeover/test_takeover.py
@@ -8,9 +8,10 @@
 
 import pytest
 
-from tests.takeover.day import Day, DayConfig, Wave
+from tests.takeover.day import Day, DayConfig, Failure, Wave
 
 SECOND = 1_000_000
+FAILURE_SEEDS = range(1, 13)
 MARGIN = 0.9  # fraction of the drain grace and of the queue limit that may be used: a tenth is in reserve
 
 SMALL = DayConfig(
@@ -44,3 +45,41 @@
     assert outcome.late_drains == outcome.unapplied_drains == 0, outcome
     assert outcome.longest_drain <= MARGIN and outcome.peak_queue <= MARGIN, outcome
     assert outcome.unbound == 0 and outcome.longest_empty_us == 0, outcome
+
+
+# The proportions of report 9421bd: the binds of all proxies take half of the drain grace.
+SHORT_GRACE = DayConfig(
+    proxies=320,
+    servers=48,
+    lines_per_s=3413.0,
+    pending_lines_max=10_240.0,
+    drain_grace_us=2_700_000,
+    killed_us=4 * SECOND,
+    reconnect_us=300_000,
+    end_us=14 * SECOND,
+    list_interval_us=200_000,
+    warm_after_us=8 * SECOND,
+)
+
+
+def waves(*times_s):
+    """Return waves of five servers, each gone soon after its drain."""
+    return tuple(Wave(int(at_s * SECOND), 5, 1_300_000) for at_s in times_s)
+
+
+EIGHTH = SHORT_GRACE.replace(
+    waves=waves(3.0, 3.8, 4.3), failures=(Failure(int(3.5 * SECOND), 14 * SECOND, 0.125),)
+)
+QUARTER = SHORT_GRACE.replace(
+    waves=waves(3.8, 4.3), failures=(Failure(int(3.9 * SECOND), 14 * SECOND, 0.25),)
+)
+ZONE = SHORT_GRACE.replace(waves=waves(3.0, 4.3), failures=(Failure(int(4.1 * SECOND), 9 * SECOND, zone=2),))
+
+
+@pytest.mark.parametrize("config", [EIGHTH, QUARTER, ZONE], ids=["an eighth", "a quarter", "a zone"])
+def test_servers_that_fail_during_a_takeover_do_not_delay_the_binds(config):
+    """Guards against ejections and readmissions that take the channel before the proxies are bound."""
+    for seed in FAILURE_SEEDS:
+        outcome = Day(config.replace(seed=seed)).play()
+        assert outcome.late_drains == outcome.unapplied_drains == 0, (seed, outcome)
+        assert outcome.peak_queue <= MARGIN and outcome.unbound == 0, (seed, outcome)
