--- a/tests/node/disruptions.py
+++ b/tests/node/disruptions.py
@@ -51,7 +51,8 @@
     """Applies disruptions to a director with these proxies."""
 
     def __init__(self, director: PacedDirector, proxies: int, draw: random.Random):
-        self.director, self.proxies, self.draw = director, proxies, draw
+        self.director, self.draw = director, draw
+        self.proxies = range(proxies)  # those that are joined to the director
         self.strangers: list[socket.socket] = []
 
     def apply(self, disruption: Disruption) -> None:
@@ -62,7 +63,7 @@
         """Start the director again; all proxies join it."""
         self.director.relay.restart()
         time.sleep(RESTART_DELAY_S)
-        for proxy in range(self.proxies):
+        for proxy in self.proxies:
             self.director.relay.join_proxy(proxy)
         self.director.process = self.director.start()
         wait_until(self.director.responds_to_heartbeat, "a heartbeat")
@@ -113,7 +114,7 @@
     def move_proxies(self) -> None:
         """Let proxies leave unseen, and join again after a moment."""
         relay = self.director.relay
-        moving = self.draw.sample(range(self.proxies), int(LEAVING_FRACTION * self.proxies))
+        moving = self.draw.sample(self.proxies, int(LEAVING_FRACTION * len(self.proxies)))
         for proxy in moving:
             relay.leave_proxy(proxy)
         time.sleep(self.draw.random() * SPELL_S)
--- a/tests/node/test_takeover_ejections.py
+++ b/tests/node/test_takeover_ejections.py
@@ -1,20 +1,19 @@
 """Ejections and readmissions in a takeover, with real directors on loopback."""
 
 import random
-import threading
 
 import pytest
 
+from tests.node.load_reporter import LoadReporter
 from tests.node.paced_director import PacedDirector, start_drains
 from tests.node.paced_relay import Fleet
-from tests.node.platform_stubs import SETTINGS, Peer, StubDiscovery, entry
+from tests.node.platform_stubs import SETTINGS, StubDiscovery, entry
 from tests.waiting import wait_until
 
 PROXIES, SERVERS = 600, 80
 OWN_PROXIES = 120  # joined to the surviving director from the start
 GRACE_S = 2.7
 RULE_SLACK_S = 0.3  # the protocol page adds it to the limit on drains
-REPORT_PERIOD_S = 0.2
 FAILING_FRACTION = 0.3
 DRAINING_SERVERS = 16
 FIRST_BINDS = 12  # bindings that show that the takeover has begun
@@ -27,42 +26,6 @@
 }
 
 
-class LoadReporter:
-    """A collector of each zone that reports every server; ``failing`` ones fail all attempts."""
-
-    def __init__(self, director, servers):
-        self.servers, self.failing = servers, set()
-        self.closed = threading.Event()
-        self.collectors = [
-            Peer(director.listen).send({"t": "telemetry", "locality": zone}) for zone in ("a", "b")
-        ]
-        self.thread = threading.Thread(target=self.report)
-        self.thread.start()
-
-    def report(self):
-        while not self.closed.wait(REPORT_PERIOD_S):
-            for zone, collector in zip("ab", self.collectors, strict=True):
-                collector.send(*(self.statistics(zone, number) for number in range(self.servers)))
-
-    def statistics(self, zone, number):
-        failed = number in self.failing
-        return {
-            "t": "upstream_stats",
-            "locality": zone,
-            "endpoint": f"s-{number:04x}",
-            "total": 12,
-            "errors": 12 if failed else 0,
-            "rtt": 0.0 if failed else 40.0,
-            "interval": REPORT_PERIOD_S * 1e3,
-        }
-
-    def close(self):
-        self.closed.set()
-        self.thread.join()
-        for collector in self.collectors:
-            collector.close()
-
-
 @pytest.fixture
 def pair(tmp_path):
     discovery, fleet = StubDiscovery(*map(entry, range(SERVERS))), Fleet(PROXIES, SERVERS)
