Bind all proxies of a takeover before ejections and admission rates take the channel

Cause: Director.update_tables published withdrawals of ejected servers and admission rates before the binds, in each step. Each is a message with its head to every proxy that it reaches, unbound ones included, so that a few ejections a step took what the channel had freed since the last one. While the window is full, priority in a step decides who gets it; binds, which a rule requires, came last.

Change: once binds do not fit into the window, ejections and rates of tables in use wait until no bind is held back, unless no bind could be written for a drain grace.

--- a/rainpick/decisions/binding.py
+++ b/rainpick/decisions/binding.py
@@ -32,14 +32,43 @@
         self.assignment = assignment
         self.withdrawals = withdrawals
         self.publisher = publisher
+        # When a proxy was first left unbound for lack of capacity, or last bound while others were left.
+        self.held_back_since_us: int | None = None
+
+    def has_priority(self) -> bool:
+        """Return whether binds precede all commands that no rule requires.
+
+        They do if the send window has no capacity for the binds of all unbound proxies, and until all of them
+        are bound, unless none could be bound for a drain grace. An unbound proxy may still use a draining
+        server. It is told of ejections and admission rates by its bind; before, each is a message of its own
+        to every unbound proxy that it reaches.
+        """
+        if self.held_back_since_us is None:
+            return self.publisher.queue.window_capacity() < self.withdrawals.pending_bind_lines()
+        held_back_us = self.fleet.clock.now - self.held_back_since_us
+        return held_back_us < self.fleet.settings.drain_grace_us
+
+    @property
+    def is_held_back(self) -> bool:
+        """Whether a proxy that may be sent a message was left unbound for lack of capacity."""
+        return self.held_back_since_us is not None
 
     def publish(self) -> None:
         """Bind as many proxies as the send queue has capacity for."""
+        unbound = self.fleet.unbound_proxies()
+        if unbound:
+            self.bind_all(unbound)
+        left = self.fleet.unbound_proxies()
+        if not any(self.publisher.available_messages(proxy) >= 1 for proxy in left):
+            self.held_back_since_us = None
+        elif self.held_back_since_us is None or len(left) < len(unbound):
+            self.held_back_since_us = self.fleet.clock.now
+
+    def bind_all(self, unbound: Sequence[ProxyState]) -> None:
+        """Bind these proxies in the order of their urgency while the send queue has capacity."""
         waiting: dict[Table, list[ProxyState]] = defaultdict(list)
-        for proxy in self.fleet.unbound_proxies():
+        for proxy in unbound:
             waiting[self.assignment.home_table(proxy)].append(proxy)
-        if not waiting:
-            return
         quotas, withdrawals = self.publisher.quotas, self.withdrawals
         terminating, withdrawn = withdrawals.terminating_by_table(), withdrawals.withdrawn_by_table()
         sizes = self.table_lines()
--- a/rainpick/decisions/director.py
+++ b/rainpick/decisions/director.py
@@ -17,7 +17,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Any
 
 from rainpick import model
@@ -47,6 +47,7 @@
 from rainpick.decisions.slow_start import Conditions, SlowStart
 from rainpick.decisions.split_calls import BindRejected, CallSplit, SplitCalls
 from rainpick.decisions.table_assignment import TableAssignment
+from rainpick.decisions.tables import Table
 from rainpick.decisions.weight_updates import WeightUpdates
 from rainpick.decisions.withdrawals import Withdrawals
 from rainpick.decisions.zone_coverage import Coverage, ZoneCoverage
@@ -241,12 +242,19 @@
         self.zone_coverage.assign()
         update_concentration(fleet, self.assignment)
         draining_tables = self.withdrawals.publish()
+        binds_first = self.binding.has_priority()
+        if not binds_first:
+            self.withdrawals.publish_ejections()
         needed = self.zone_coverage.needed
         coverage, warm_coverage = Coverage(fleet.servers.values(), needed), Coverage(warm, needed)
         self.weight_updates.fill_empty_tables(coverage, quotas.rule)
-        self.publish_admission()
-        # Binds precede weight changes because an unbound proxy may still use a draining server.
+        self.publish_admission(table for table in fleet.tables if not (binds_first and table.proxies))
+        # Binds precede all commands that no rule requires, because an unbound proxy may still use a draining
+        # server: a bind tells it of all ejections and admission rates in a single message.
         self.binding.publish()
+        if binds_first and not self.binding.is_held_back:
+            self.withdrawals.publish_ejections()
+            self.publish_admission(fleet.tables)
         self.weight_updates.protect_warming_servers(warm, coverage, warm_coverage, draining_tables)
         # Weight updates need more available messages at each proxy than other commands do: when a zone
         # returns, the starts of its servers are discovered one after another, and their weights take several
@@ -294,13 +302,13 @@
             server.is_warm = server in warm
         self.capacity.update_tables()
 
-    def publish_admission(self) -> None:
-        """Publish the changed admission rates to each used table.
+    def publish_admission(self, tables: Iterable[Table]) -> None:
+        """Publish the changed admission rates to each of these tables that is used.
 
         A table to which they cannot be sent for lack of capacity is tried again in later steps.
         """
         rates = self.admission.rates
-        for table in self.fleet.tables:
+        for table in tables:
             published = table.published_admission
             changed = [route for route in rates if published.get(route) != rates[route]]
             if not table.used or not changed:
--- a/rainpick/decisions/send_queue.py
+++ b/rainpick/decisions/send_queue.py
@@ -109,6 +109,10 @@
         """Return the number of lines that may be written before the limit is reached."""
         return self.limit - self.waiting - self.planned
 
+    def window_capacity(self) -> float:
+        """Return the number of lines that may be written before the send window is full."""
+        return self.window - self.backlog() - self.planned
+
     def fits(self, lines: float, quota: Quota) -> bool:
         """Return whether ``lines`` lines may be written now.
 
--- a/rainpick/decisions/withdrawals.py
+++ b/rainpick/decisions/withdrawals.py
@@ -43,23 +43,29 @@
         self.is_takeover = False
 
     def publish(self) -> set[Table]:
-        """Withdraw terminating and ejected servers; return the tables that still have a terminating one."""
-        quotas = self.publisher.quotas
-        unpublished = [
+        """Withdraw terminating servers; return the tables that still have a terminating one."""
+        self.is_takeover = self.binds_exceed_window()
+        self.withdraw_terminating([server for server in self.unpublished() if server.is_terminating])
+        self.remove_terminating(self.publisher.quotas.drain)
+        return set(self.terminating_by_table())
+
+    def publish_ejections(self) -> None:
+        """Withdraw ejected servers, and servers that are only presumed gone.
+
+        They leave queue capacity and one message to each proxy for drains. When they filled the queue, drains
+        were sent one by one, each with its own message heads.
+        """
+        ejected = [server for server in self.unpublished() if not server.is_terminating]
+        for server in sorted(ejected, key=lambda server: server.presumed_gone):
+            self.withdraw(server, self.publisher.quotas.ejection)
+
+    def unpublished(self) -> list[ServerState]:
+        """Return the servers that have to be withdrawn and are not yet."""
+        return [
             server
             for server in self.fleet.servers.values()
             if server.percentage <= 0 and not server.withdrawn
         ]
-        self.is_takeover = self.binds_exceed_window()
-        self.withdraw_terminating([server for server in unpublished if server.is_terminating])
-        self.remove_terminating(quotas.drain)
-        # The withdrawals of ejected servers, and of servers that are only presumed gone, leave queue capacity
-        # and one message to each proxy for drains. When they filled the queue, drains were sent one by one,
-        # each with its own message heads.
-        others = [server for server in unpublished if not server.is_terminating]
-        for server in sorted(others, key=lambda server: server.presumed_gone):
-            self.withdraw(server, quotas.ejection)
-        return set(self.terminating_by_table())
 
     def withdraw_terminating(self, terminating: list[ServerState]) -> None:
         """Withdraw terminating servers, or defer their withdrawals.
@@ -81,10 +87,14 @@
 
     def binds_exceed_window(self) -> bool:
         """Return whether the binds of all unbound proxies exceed ``TAKEOVER_FRACTION`` of the send window."""
+        return self.pending_bind_lines() > TAKEOVER_FRACTION * self.publisher.queue.window
+
+    def pending_bind_lines(self) -> float:
+        """Return the number of lines that the binds of all unbound proxies take, with tables of full size."""
         settings, publisher = self.fleet.settings, self.publisher
         table_lines = TABLE_SIZE_MULTIPLE * (settings.default_table_size or 0)
         lines = publisher.head_lines + 1 + len(settings.routes) + table_lines
-        return len(self.fleet.unbound_proxies()) * lines > TAKEOVER_FRACTION * publisher.queue.window
+        return len(self.fleet.unbound_proxies()) * lines
 
     def withdraw(self, server: ServerState, quota: Quota) -> bool:
         """Withdraw a server from all proxies that may use it; returns False if there is no capacity.
--- a/tests/takeover/day.py
+++ b/tests/takeover/day.py
@@ -62,6 +62,7 @@
     delivery_delay_us: int = 180_000
     killed_us: int = 9_000_000
     reconnect_us: int = 1_500_000  # maximum time from the kill until a proxy has joined the last director
+    keeps_tables: bool = True  # whether the proxies still use the tables of their former directors
     end_us: int = 30_000_000
     waves: tuple[Wave, ...] = (
         Wave(6_000_000, 30),
@@ -271,6 +272,9 @@
 
     def join(self, proxy: int, director: DirectorInstance) -> None:
         proxy_tables = self.proxies[proxy]
+        if not self.config.keeps_tables:
+            proxy_tables.weights = self.default_weights(proxy_tables.zone)
+            proxy_tables.withdrawn.clear()
         proxy_tables.joined_us = self.now
         director.channel.join(proxy, proxy_tables)
         newly_started = not proxy_tables.weights
@@ -293,10 +297,7 @@
             proxy_tables = ProxyTables(
                 self.random.randrange(config.zones), self.random.lognormvariate(0, 0.8)
             )
-            local = [name for name, endpoint in self.endpoints.items() if endpoint.zone == proxy_tables.zone]
-            usable = local or list(self.endpoints)
-            size = min(config.default_table_size, len(usable))
-            proxy_tables.weights = dict.fromkeys(self.random.sample(usable, size), 1.0)
+            proxy_tables.weights = self.default_weights(proxy_tables.zone)
             self.proxies[proxy] = proxy_tables
             director = self.directors[proxy % config.directors]
             director.channel.join(proxy, proxy_tables)
@@ -313,6 +314,13 @@
             callback()
         return self.outcome()
 
+    def default_weights(self, zone: int) -> dict[str, float]:
+        """Draw the servers of a default table, of the zone of its proxy if there are any."""
+        local = [name for name, endpoint in self.endpoints.items() if endpoint.zone == zone]
+        usable = local or list(self.endpoints)
+        size = min(self.config.default_table_size, len(usable))
+        return dict.fromkeys(self.random.sample(usable, size), 1.0)
+
     def outcome(self) -> Outcome:
         self.now = self.config.end_us
         unapplied = 0
