Count lines that unbound proxies may never get apart: they held back all binds

Cause: a withdrawal or readmission reaches an unbound proxy only if it uses the server. The decisions counted a message to each that may, and awaited its acknowledgement. Those that got none stayed counted until their bind was acknowledged, and the count filled the window and the part of the queue that binds may use, so that none was written.

Change: such lines are a count of their own. They count towards the limit of the queue, and towards the window of other commands, but hold no bind back. They end with an acknowledgement of the message or a later one, with the proxy, once later lines have left, or after the time that all lines before them take at half of the pace. Calls that are sent again or in parts count them alike.

The limit holds where all unbound proxies do get the messages. The replaced send queue of tests/record/test_load.py overrides exceeded_limit, which took the place of fits; it refuses all lines as before.

--- a/rainpick/decisions/channel_progress.py
+++ b/rainpick/decisions/channel_progress.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 from collections import deque
+from math import inf
 from typing import NamedTuple
 
 # Fractions of the channel's ordinary pace at which lines are assumed to leave it without acknowledgements: at
@@ -118,6 +119,11 @@
         lasting = ordinary - first / SILENT_PACE_FRACTION
         return first + LASTING_SILENT_PACE_FRACTION * lasting
 
+    def longest_time_us(self, lines: float) -> float:
+        """Return the time within which a number of lines are assumed to leave the channel."""
+        pace = SILENT_PACE_FRACTION * self.lines_per_us
+        return lines / pace if pace else inf
+
     @property
     def is_assumed(self) -> bool:
         """Whether progress is assumed, and acknowledgements may be overdue."""
--- a/rainpick/decisions/director.py
+++ b/rainpick/decisions/director.py
@@ -149,7 +149,7 @@
             model.Acknowledged: self.acknowledged,
             AcknowledgementsMayBeLost: lambda _: self.publisher.queue.progress.assume_losses(),
             TransmissionSuspended: lambda _: self.publisher.queue.progress.suspend(),
-            TransmissionResumed: lambda _: self.publisher.queue.progress.resume(),
+            TransmissionResumed: lambda _: self.publisher.queue.resume(),
             BindRejected: self.split_calls.bind_rejected,
             CallSplit: self.split_calls.split,
             RetransmissionRequested: self.retransmissions.requested,
--- a/rainpick/decisions/proxies.py
+++ b/rainpick/decisions/proxies.py
@@ -34,6 +34,9 @@
         self.requests: dict[int, SlidingWindow] = {}  # by route: requests, report intervals in microseconds
         self.former_table: int | None = None  # table that it may still be bound to, if it rejoined unnoticed
         self.unacknowledged: deque[SentMessage] = deque()
+        # Messages that the proxy gets only if it uses certain servers, written while it was unbound. It has
+        # acknowledged none of them, nor any later message.
+        self.uncertain: list[SentMessage] = []
         self.message_tokens = 1e9  # see MessageLimit; reduced to the burst size when it is first read
         self.tokens_filled_us = now
 
@@ -44,6 +47,7 @@
         """
         self.former_table = previous.former_table if previous.table is None else previous.table
         self.unacknowledged = previous.unacknowledged
+        self.uncertain = previous.uncertain
         self.message_tokens = previous.message_tokens
         self.tokens_filled_us = previous.tokens_filled_us
 
--- a/rainpick/decisions/proxy_membership.py
+++ b/rainpick/decisions/proxy_membership.py
@@ -37,6 +37,9 @@
 
     def left(self, event: ProxyLeft) -> None:
         """Remove a proxy that left."""
+        if proxy := self.fleet.proxies.get(event.proxy):
+            for message in proxy.uncertain:
+                self.queue.uncertain.release(message.nonce, message.lines)
         self.remove(event.proxy)
 
     def remove(self, number: int) -> None:
--- a/rainpick/decisions/publisher.py
+++ b/rainpick/decisions/publisher.py
@@ -56,13 +56,13 @@
     """Return the quota of the send queue for each kind of command."""
     limit = settings.channel_lines_max
     capacity = min(limit, QUEUE_GRACE_FRACTION * settings.grace_lines)
-    bind = Quota(1, limit - (1 + UPDATE_QUEUE_FRACTION) / 2 * capacity, 1.0, "bind")
+    bind = Quota(1, limit - (1 + UPDATE_QUEUE_FRACTION) / 2 * capacity, 1.0, "bind", precedes_uncertain=True)
     update_reserve = limit - UPDATE_QUEUE_FRACTION * capacity
     return Quotas(
         rule=Quota(1, 0, None, "rule"),
         drain=Quota(1, 0, 1.0, "drain"),
         bind=bind,
-        ejection=bind._replace(messages=EJECTION_MESSAGES_MIN, kind="ejection"),
+        ejection=Quota(EJECTION_MESSAGES_MIN, bind.reserve, 1.0, "ejection"),
         admission=Quota(ADMISSION_MESSAGES_MIN, 0, None, "admission"),
         update=Quota(UPDATE_MESSAGES_MIN, update_reserve, UPDATE_QUEUE_FRACTION, "update"),
     )
@@ -104,6 +104,7 @@
         self.commands: list[object] = []
         self.written: list[tuple[ProxyState, int]] = []  # proxies, and the number of lines sent to each
         self.reply_costs = ReplyCosts(settings.channel_lines_max)
+        self.uncertain_costs = ReplyCosts(settings.channel_lines_max)  # of messages to unbound proxies
 
     # Events
 
@@ -111,10 +112,23 @@
         """Record that a proxy has applied a message and all messages before it."""
         if proxy := self.fleet.proxies.get(event.proxy):
             messages = proxy.acknowledge(event.nonce)
-            self.statistics.unmatched_acknowledgements += not messages
+            is_uncertain = bool(proxy.uncertain) and self.acknowledged_uncertain(proxy, event.nonce)
+            self.statistics.unmatched_acknowledgements += not messages and not is_uncertain
             for message in messages:
                 self.queue.acknowledge(message.nonce, message.lines)
 
+    def acknowledged_uncertain(self, proxy: ProxyState, nonce: int) -> bool:
+        """Stop counting a proxy's uncertain messages up to a reply that it acknowledged; return if any."""
+        position = self.queue.end_of(nonce)
+        applied = [message for message in proxy.uncertain if self.queue.end_of(message.nonce) <= position]
+        for message in applied:
+            proxy.uncertain.remove(message)
+            if message.nonce == nonce:
+                self.queue.acknowledge_uncertain(nonce, message.lines)
+            else:
+                self.queue.uncertain.release(message.nonce, message.lines)
+        return bool(applied)
+
     def retransmitted(self, nonce: int) -> None:
         """Count the lines and messages of a reply a second time, for the event ``Retransmitted``.
 
@@ -133,16 +147,24 @@
         """Return the number of lines, by joined proxy, that sending these replies again takes."""
         return self.reply_costs.total(nonces, self.fleet.proxies)
 
-    def retransmit(self, previous_nonce: int, costs: Mapping[int, int]) -> int:
+    def uncertain_retransmission_costs(self, nonces: Iterable[int]) -> dict[int, int]:
+        """Return the same for messages that these replies sent to unbound proxies, which get some of them."""
+        return self.uncertain_costs.total(nonces, self.fleet.proxies)
+
+    def retransmit(
+        self, previous_nonce: int, costs: Mapping[int, int], uncertain_costs: Mapping[int, int]
+    ) -> int:
         """Count a call that is sent again, as one message to each proxy; return its new nonce."""
         nonce = self.next_nonce()
+        for number in uncertain_costs.keys() - costs.keys():
+            self.fleet.proxies[number].message_tokens -= 1
         for number, lines in costs.items():
             proxy = self.fleet.proxies[number]
             proxy.insert_message(previous_nonce, SentMessage(nonce, lines))
             proxy.message_tokens -= 1
-        lines = sum(costs.values())
-        self.statistics.count_written(RETRANSMISSION_KIND, lines)
-        self.queue.insert(previous_nonce, nonce, lines)
+        lines, uncertain = sum(costs.values()), sum(uncertain_costs.values())
+        self.statistics.count_written(RETRANSMISSION_KIND, lines + uncertain)
+        self.queue.insert(previous_nonce, nonce, lines, uncertain)
         return nonce
 
     def count_second_messages(self, nonce: int, numbers: Iterable[int], acknowledgements: int) -> None:
@@ -156,6 +178,13 @@
                 proxy.message_tokens -= 1
                 self.queue.retransmit(nonce, self.head_lines)
 
+    def count_uncertain_messages(self, nonce: int, numbers: Iterable[int]) -> None:
+        """Count another message head to each of these proxies, which may get it, for one call."""
+        for number in numbers:
+            if proxy := self.fleet.proxies.get(number):
+                proxy.message_tokens -= 1
+                self.queue.retransmit(nonce, 0, self.head_lines)
+
     def discard_message(self, number: int, nonce: int) -> None:
         """Stop counting the lines of a message to a proxy unless the proxy has left or acknowledged it."""
         if proxy := self.fleet.proxies.get(number):
@@ -218,7 +247,9 @@
             self.statistics.count_held_back(quota.kind, limit)
             return False
         self.statistics.count_written(quota.kind, cost)
-        self.queue.plan(cost)
+        unbound = [group for group in groups if group.table_number is None]
+        uncertain = self.cost(unbound, lines)
+        self.queue.plan(cost - uncertain, uncertain)
         self.commands += commands
         for group in groups:
             group.pending_lines += lines if group.proxies else 0
@@ -255,22 +286,32 @@
         Only advances the nonce if the reply has no messages. ``all_proxies``: request one also of joined
         proxies that hold no table with the servers of the reply.
         """
-        for group in (*self.fleet.tables, *self.fleet.unbound_groups()):
-            lines = group.pending_lines
-            group.pending_lines = 0
-            if lines:
-                self.written += [(proxy, lines + self.head_lines) for proxy in group.proxies.values()]
+        self.written += self.take_messages(self.fleet.tables)
+        uncertain = self.take_messages(self.fleet.unbound_groups())
         nonce = self.next_nonce()
-        if not self.written:
+        if not self.written and not uncertain:
             return
         self.commands.append(RequestAcknowledgement(nonce, all_proxies))
         for proxy, lines in self.written:
             proxy.unacknowledged.append(SentMessage(nonce, lines))
             proxy.message_tokens -= 1
-        self.queue.write(nonce, sum(lines for _, lines in self.written))
+        for proxy, lines in uncertain:
+            proxy.uncertain.append(SentMessage(nonce, lines))
+            proxy.message_tokens -= 1
+        self.queue.write(nonce, sum(lines for _, lines in self.written), sum(lines for _, lines in uncertain))
         self.reply_costs.add(nonce, ((proxy.number, lines) for proxy, lines in self.written))
+        self.uncertain_costs.add(nonce, ((proxy.number, lines) for proxy, lines in uncertain))
         self.written = []
 
+    def take_messages(self, groups: Iterable[ProxyGroup]) -> list[tuple[ProxyState, int]]:
+        """Return the messages of this step to the proxies of groups, with the lines of each."""
+        messages = []
+        for group in groups:
+            lines, group.pending_lines = group.pending_lines, 0
+            if lines:
+                messages += [(proxy, lines + self.head_lines) for proxy in group.proxies.values()]
+        return messages
+
     def next_nonce(self) -> int:
         """Advance the nonce and return it."""
         self.nonce = (self.nonce + 1) % NONCE_COUNT
--- a/rainpick/decisions/retransmission.py
+++ b/rainpick/decisions/retransmission.py
@@ -77,15 +77,16 @@
         if self.request is None:
             return
         costs = self.publisher.retransmission_costs(self.request.replies)
-        if not self.is_allowed(costs):
+        uncertain_costs = self.publisher.uncertain_retransmission_costs(self.request.replies)
+        if not self.is_allowed(costs, uncertain_costs):
             return
-        nonce = self.publisher.retransmit(self.request.nonce, costs)
+        nonce = self.publisher.retransmit(self.request.nonce, costs, uncertain_costs)
         self.publisher.commands.append(Retransmit(self.request.nonce, nonce))
         expires_us = self.fleet.clock.now + self.channel_drain_us
         self.transmissions.append(Transmission(nonce, tuple(costs), expires_us))
         self.request = None
 
-    def is_allowed(self, costs: dict[int, int]) -> bool:
+    def is_allowed(self, costs: dict[int, int], uncertain_costs: dict[int, int]) -> bool:
         """Return whether a call that costs these lines, by proxy, may be sent again now.
 
         A limit is ignored once any earlier transmission of the call has left the scope of that limit. Without
@@ -93,10 +94,14 @@
         """
         proxies = self.fleet.proxies
         waited_us = self.fleet.clock.now - self.requested_us
-        fits = sum(costs.values()) <= self.publisher.queue.available_lines()
+        lines = sum(costs.values()) + sum(uncertain_costs.values())
+        fits = lines <= self.publisher.queue.available_lines()
         # A retransmission may use the message that the message limit keeps in reserve.
         needed = 1 - self.publisher.message_limit.reserve
-        within_limit = all(self.publisher.available_messages(proxies[number]) >= needed for number in costs)
+        within_limit = all(
+            self.publisher.available_messages(proxies[number]) >= needed
+            for number in costs.keys() | uncertain_costs.keys()
+        )
         return (fits or waited_us >= self.channel_drain_us) and (
             within_limit or waited_us >= self.fleet.settings.messages_window_us
         )
--- a/rainpick/decisions/send_queue.py
+++ b/rainpick/decisions/send_queue.py
@@ -4,10 +4,11 @@
 their deadlines. Therefore only a short send window is written ahead of transmission. Commands that are not
 written yet can still be sent in the order of their deadlines and merged with later ones.
 
-Two counts are kept. ``waiting`` is the number of lines that proxies have not acknowledged. It overestimates
-the length of the queue; the rule on this length applies to it. ``backlog`` is the number of lines still in
-the channel. It is derived from the newest message that any proxy has acknowledged, so that it falls even if
-some proxies are unresponsive. Neither depends on acknowledgements alone, see ``ChannelProgress``.
+Three counts are kept. ``waiting`` is the number of lines that proxies have not acknowledged, ``uncertain``
+that of lines which possibly were never sent, see ``uncertain_lines``. Their sum overestimates the length of
+the queue; the rule on this length applies to it. ``backlog`` is the number of lines still in the channel,
+without the uncertain ones. It is derived from the newest message that any proxy has acknowledged, so that it
+falls even if some proxies are unresponsive. None depends on acknowledgements alone, see ``ChannelProgress``.
 """
 
 from __future__ import annotations
@@ -18,6 +19,7 @@
 
 from rainpick.decisions.channel_progress import ChannelProgress
 from rainpick.decisions.channel_statistics import Limit
+from rainpick.decisions.uncertain_lines import UncertainCount, UncertainLines
 
 REPLIES_MAX = 1_024  # replies kept; a reply is acknowledged long before this many newer ones are written
 
@@ -29,6 +31,7 @@
     reserve: float  # number of lines, out of the send queue's limit, that are left to other commands
     window_fraction: float | None  # fraction of the send window that may be filled; None: not limited by it
     kind: str = ""  # the name of the kind of command in statistics
+    precedes_uncertain: bool = False  # whether uncertain lines count towards the limit of the queue alone
 
 
 class Quotas(NamedTuple):
@@ -56,7 +59,7 @@
     silent_s: float = 0.0  # seconds without an acknowledgement although lines wait; 0 if none wait
     expired: int = 0  # number of lines so far whose acknowledgements were overdue
     suspended: bool = False  # whether calls do not reach the channel
-    unbound_lines: int = 0  # number of unacknowledged lines of messages to unbound proxies
+    uncertain: int = 0  # number of lines of messages to unbound proxies, which they get only in part
     written: Mapping[str, int] = MappingProxyType({})  # number of lines so far by kind of command
     held_back: Mapping[str, int] = MappingProxyType({})  # writes held back so far by kind and limit
     unmatched: int = 0  # number of acknowledgements so far of messages that were not counted
@@ -83,13 +86,21 @@
         self.progress = progress or ChannelProgress(0, 0, 0)
         self.waiting = 0  # number of lines that proxies have not acknowledged
         self.total = 0  # number of all lines written so far
+        self.uncertain = UncertainCount()
         self.planned: float = 0  # number of lines of the reply that is being composed
+        self.planned_uncertain = 0  # number of uncertain lines of the reply that is being composed
         self.replies: dict[Hashable, Reply] = {}  # by nonce, the newest last
 
     def advance(self, now: int) -> None:
         """Set the time of a new step, in microseconds."""
         self.progress.advance(now, self.total)
 
+    def resume(self) -> None:
+        """Record that lines which were held back on their way to the channel are sent now."""
+        self.progress.resume()
+        lines = self.backlog() + self.uncertain.lines
+        self.uncertain.delay(self.progress.now + self.progress.longest_time_us(lines))
+
     def silent_us(self) -> int:
         """Return the time without an acknowledgement although lines wait; 0 if none wait."""
         return self.progress.now - self.progress.confirmed.at_us if self.waiting else 0
@@ -107,57 +118,68 @@
 
     def available_lines(self) -> float:
         """Return the number of lines that may be written before the limit is reached."""
-        return self.limit - self.waiting - self.planned
+        return self.limit - self.waiting - self.planned - self.uncertain_lines()
+
+    def uncertain_lines(self) -> int:
+        """Return the number of uncertain lines, with those of the reply that is being composed."""
+        return self.uncertain.lines + self.planned_uncertain
 
     def window_capacity(self) -> float:
         """Return the number of lines that may be written before the send window is full."""
         return self.window - self.backlog() - self.planned
 
-    def fits(self, lines: float, quota: Quota) -> bool:
-        """Return whether ``lines`` lines may be written now.
+    def exceeded_limit(self, lines: float, quota: Quota) -> Limit | None:
+        """Return the limit that does not allow ``lines`` lines now; None if they may be written.
 
         The send window is ignored while the channel and the reply are empty.
 
         >>> queue = SendQueue(limit=100, window=20)
-        >>> [queue.fits(lines, Quota(1, 0, window)) for lines, window in ((20, 1.0), (21, 1.0), (21, None))]
-        [True, True, True]
+        >>> sizes = (20, 1.0), (21, 1.0), (21, None)
+        >>> [queue.exceeded_limit(lines, Quota(1, 0, window)) for lines, window in sizes]
+        [None, None, None]
         >>> queue.write("a nonce", 5)
-        >>> [queue.fits(lines, Quota(1, 0, window)) for lines, window in ((15, 1.0), (16, 1.0), (16, None))]
-        [True, False, True]
+        >>> sizes = (15, 1.0), (16, 1.0), (16, None)
+        >>> [queue.exceeded_limit(lines, Quota(1, 0, window)) for lines, window in sizes]
+        [None, <Limit.WINDOW: 'window'>, None]
         """
-        return self.exceeded_limit(lines, quota) is None
-
-    def exceeded_limit(self, lines: float, quota: Quota) -> Limit | None:
-        """Return the limit that does not allow ``lines`` lines now; None if they may be written."""
-        if lines > self.available_lines() - quota.reserve:
+        ignored = self.uncertain_lines() if quota.precedes_uncertain else 0
+        available = self.available_lines()
+        if lines > min(available, available + ignored - quota.reserve):
             return Limit.QUEUE
-        ahead = self.backlog() + self.planned
+        ahead = self.backlog() + self.planned + self.uncertain_lines() - ignored
         if quota.window_fraction is None or not ahead or lines <= quota.window_fraction * self.window - ahead:
             return None
         return Limit.WINDOW
 
-    def plan(self, lines: float) -> None:
-        """Add a number of lines to the reply that is being composed."""
+    def plan(self, lines: float, uncertain: int = 0) -> None:
+        """Add a number of lines, and of uncertain ones, to the reply that is being composed."""
         self.planned += lines
+        self.planned_uncertain += uncertain
 
     def begin(self) -> None:
         """Begin a new reply; lines planned for an earlier reply that was not written are dropped."""
         self.planned = 0
+        self.planned_uncertain = 0
+        if not self.progress.suspended:
+            self.uncertain.expire(self.progress.now, self.progress.position)
 
-    def write(self, nonce: Hashable, lines: int) -> None:
-        """Record that the messages of a reply, which contain ``lines`` lines, have been written."""
-        if not self.backlog():
+    def write(self, nonce: Hashable, lines: int, uncertain: int = 0) -> None:
+        """Record that the messages of a reply have been written, with this many lines and uncertain lines."""
+        if not self.backlog() and not self.uncertain.lines:
             self.progress.start(self.total)
+        end = self.total + lines + uncertain
         self.replies.pop(nonce, None)
-        self.replies[nonce] = Reply(self.total, 0, self.total + lines)
-        self.total += lines
+        self.replies[nonce] = Reply(self.total, 0, end)
+        self.total = end
         self.waiting += lines
-        self.planned = 0
+        self.begin()
+        if uncertain:
+            self.add_uncertain(nonce, uncertain)
         while len(self.replies) > REPLIES_MAX:
             del self.replies[next(iter(self.replies))]
 
-    def insert(self, previous: Hashable, nonce: Hashable, lines: int) -> None:
-        """Record that ``lines`` lines are sent again right after the reply ``previous``.
+    def insert(self, previous: Hashable, nonce: Hashable, lines: int, uncertain: int = 0) -> None:
+        """Record that ``lines`` lines and ``uncertain`` ones are sent again right after ``previous``.
 
         Newer replies are sent behind them: calls are sent in order, so none of these has left yet.
 
@@ -173,19 +195,31 @@
         position = names.index(previous) + 1 if previous in self.replies else len(names)
         newer = names[position:]
         start = self.replies[newer[0]].start if newer else self.total
+        inserted = lines + uncertain
         replies = {name: self.replies[name] for name in names[:position]}
-        replies[nonce] = Reply(start, 0, start + lines)
+        replies[nonce] = Reply(start, 0, start + inserted)
         for name in newer:
             reply = self.replies[name]
-            replies[name] = reply._replace(start=reply.start + lines, end=reply.end + lines)
+            replies[name] = reply._replace(start=reply.start + inserted, end=reply.end + inserted)
         self.replies = replies
-        self.total += lines
+        self.total += inserted
         self.waiting += lines
-
-    def retransmit(self, nonce: Hashable, lines: int) -> None:
-        """Count more lines of a reply that was written before, sent with another message."""
-        self.total += lines
+        self.uncertain.insert(start, inserted)
+        if uncertain:
+            self.add_uncertain(nonce, uncertain)
+
+    def add_uncertain(self, nonce: Hashable, lines: int) -> None:
+        """Count uncertain lines, which are sent behind all lines that were written so far or among them."""
+        ahead = self.backlog() + self.uncertain.lines
+        due_us = self.progress.now + self.progress.longest_time_us(ahead + lines)
+        self.uncertain.add(nonce, UncertainLines(lines, self.total, due_us))
+
+    def retransmit(self, nonce: Hashable, lines: int, uncertain: int = 0) -> None:
+        """Count more lines, and uncertain ones, of a reply that was written before."""
+        self.total += lines + uncertain
         self.waiting += lines
+        if uncertain:
+            self.add_uncertain(nonce, uncertain)
         if reply := self.replies.get(nonce):
             self.replies[nonce] = reply._replace(end=self.total)
 
@@ -200,6 +234,18 @@
             reply = self.replies[nonce] = reply._replace(acknowledged=reply.acknowledged + lines)
             self.progress.confirm(min(self.total, reply.start + reply.acknowledged))
 
+    def acknowledge_uncertain(self, nonce: Hashable, lines: int) -> None:
+        """Record that a proxy applied a message of uncertain lines."""
+        self.uncertain.release(nonce, lines)
+        if reply := self.replies.get(nonce):
+            self.replies[nonce] = reply._replace(acknowledged=reply.acknowledged + lines)
+            self.progress.confirm(min(self.total, reply.start + reply.acknowledged + lines))
+
+    def end_of(self, nonce: Hashable) -> int:
+        """Return the position of the last line of a reply; 0 if the reply is not known any more."""
+        reply = self.replies.get(nonce)
+        return reply.end if reply else 0
+
     def forget(self, lines: int) -> None:
         """Stop counting the unacknowledged lines of a proxy that has left."""
         self.waiting -= lines
--- a/rainpick/decisions/split_calls.py
+++ b/rainpick/decisions/split_calls.py
@@ -89,13 +89,15 @@
         their tables after the call, and one that never comes would leave the whole message counted.
         """
         costs = self.publisher.retransmission_costs(event.replies).keys()
+        uncertain = self.publisher.uncertain_retransmission_costs(event.replies).keys() - costs
         certain = event.first.bound & event.later.bound
-        possible = set(costs)
+        possible = costs | uncertain
         if not event.first.any_proxy and not event.later.any_proxy:
             possible = self.reached(event.first, event.later.bound) & self.reached(event.later, frozenset())
             possible |= self.former_holders(event.first, event.later.bound)
         self.publisher.count_second_messages(event.nonce, certain & costs, acknowledgements=1)
         self.publisher.count_second_messages(event.nonce, possible & costs - certain, acknowledgements=0)
+        self.publisher.count_uncertain_messages(event.nonce, possible & uncertain)
 
     def reached(self, part: Recipients, bound_later: frozenset[int]) -> set[int]:
         """Return the proxies that a part reaches.
--- a/rainpick/decisions/withdrawals.py
+++ b/rainpick/decisions/withdrawals.py
@@ -198,7 +198,7 @@
             silent_s=queue.silent_us() / 1e6,
             expired=self.publisher.expired_lines,
             suspended=queue.progress.suspended,
-            unbound_lines=sum(proxy.unacknowledged_lines() for proxy in unbound),
+            uncertain=queue.uncertain.lines,
             written=dict(self.publisher.statistics.written),
             held_back=dict(self.publisher.statistics.held_back),
             unmatched=self.publisher.statistics.unmatched_acknowledgements,
--- a/rainpick/node/channel_monitor.py
+++ b/rainpick/node/channel_monitor.py
@@ -14,7 +14,7 @@
 
 OBSERVATION_PERIOD_US = 1_000_000
 GRACE_USED_WARNING = 0.8  # fraction of the drain grace above which a warning is logged
-PEAK_FIELDS = "waiting", "backlog", "unbound", "unbound_lines", "grace_used", "silent_s"
+PEAK_FIELDS = "waiting", "backlog", "unbound", "uncertain", "grace_used", "silent_s"
 
 
 def rounded(channel: ChannelState) -> dict[str, Any]:
--- a/tests/record/test_load.py
+++ b/tests/record/test_load.py
@@ -16,7 +16,7 @@
 from tests.record.recorded_day import record_day, replay_all
 
 INSTALLED = Path(decisions.__file__).parent
-NEVER_FITS = "\n\nSendQueue.fits = lambda queue, lines, quota: False\n"
+NEVER_FITS = "\n\nSendQueue.exceeded_limit = lambda queue, lines, quota: Limit.QUEUE\n"
 
 
 def copy_installed(folder):
@@ -68,7 +68,7 @@
     record_day(tmp_path / "day")
     (same,) = replay_all(tmp_path / "day", load_decisions(copy_installed(tmp_path / "same")))
     assert same.differing == 0
-    assert callable(send_queue.SendQueue.fits)
+    assert callable(send_queue.SendQueue.exceeded_limit)
     (changed,) = replay_all(tmp_path / "day", load_decisions(copy_with_slow_queue(tmp_path / "other")))
     assert changed.differing and changed.commands == same.commands
     # The installed modules are not affected.
