Leave deferred withdrawals of servers that no table has to the binds

Cause: a deferred withdrawal of a server that was removed from all tables meanwhile was sent as soon as the first join of another director's proxies was heard. It reaches every joined proxy that still uses the server, also those whose joins are not heard yet: messages that nobody counts, ahead of binds that make them unnecessary.

--- a/rainpick/decisions/withdrawals.py
+++ b/rainpick/decisions/withdrawals.py
@@ -80,11 +80,24 @@
             server.withdrawal_deferred and server.published_weights for server in terminating
         )
         for server in terminating:
-            overdue = now - server.drain_started_us > DEFERRED_GRACE_FRACTION * grace_us
-            deferred = self.is_takeover and not overdue or earlier_deferred and bool(server.published_weights)
+            overdue = now - self.used_since_us(server) > DEFERRED_GRACE_FRACTION * grace_us
+            left_to_binds = server.withdrawal_deferred and not server.published_weights
+            deferred = (self.is_takeover or left_to_binds) and not overdue
+            deferred = deferred or earlier_deferred and bool(server.published_weights)
             server.withdrawal_deferred = deferred or not self.withdraw(server, self.publisher.quotas.drain)
             earlier_deferred = earlier_deferred or server.withdrawal_deferred
 
+    def used_since_us(self, server: ServerState) -> int:
+        """Return from when on the drain grace of a terminating server runs.
+
+        If no table has the server, only unbound proxies may use it, from their joins on.
+        """
+        if server.published_weights:
+            return server.drain_started_us
+        holders = self.fleet.unbound_holders(server)
+        joined_us = [proxy.joined_us for group in holders for proxy in group.proxies.values()]
+        return max(server.drain_started_us, min(joined_us, default=0))
+
     def binds_exceed_window(self) -> bool:
         """Return whether the binds of all unbound proxies exceed ``TAKEOVER_FRACTION`` of the send window."""
         return self.pending_bind_lines() > TAKEOVER_FRACTION * self.publisher.queue.window
