Count the lines that setting up tables again takes when a call is sent again

Cause: a call that sets up tables and binds proxies to them costs its binds when it is executed first, as the tables have no proxies. Executed again, its table commands reach the proxies that it bound: 2,158 lines instead of 1,319 in the trace (relay: executed and closed, three times). The retransmission was allowed and counted as 1,319. Class: a repeated call counted as its first execution.

Change: the lines of a table's commands in a reply are kept for each proxy that the reply binds to it, and count in each retransmission.

--- a/rainpick/decisions/proxies.py
+++ b/rainpick/decisions/proxies.py
@@ -115,7 +115,8 @@
     """Proxies that receive the same commands.
 
     ``pending_lines`` is the number of lines that the current step has written to each proxy of the group so
-    far, without the message head. ``table_number`` is the table that the proxies are bound to, or None.
+    far, without the message head; ``command_lines`` is what they are if the group has any proxy when the
+    commands are executed. ``table_number`` is the table that the proxies are bound to, or None.
     """
 
     table_number: int | None = None
@@ -123,6 +124,7 @@
     def __init__(self) -> None:
         self.proxies: dict[int, ProxyState] = {}
         self.pending_lines = 0
+        self.command_lines = 0
 
 
 class MessageLimit:
--- a/rainpick/decisions/publisher.py
+++ b/rainpick/decisions/publisher.py
@@ -103,8 +103,10 @@
         self.nonce = 0
         self.commands: list[object] = []
         self.written: list[tuple[ProxyState, int]] = []  # proxies, and the number of lines sent to each
+        self.bound: list[tuple[int, Table]] = []  # numbers of the proxies bound in this step, with tables
         self.reply_costs = ReplyCosts(settings.channel_lines_max)
         self.uncertain_costs = ReplyCosts(settings.channel_lines_max)  # of messages to unbound proxies
+        self.repeated_costs = ReplyCosts(settings.channel_lines_max)  # see take_repeated_lines
 
     # Events
 
@@ -147,6 +149,10 @@
         """Return the number of lines, by joined proxy, that sending these replies again takes."""
         return self.reply_costs.total(nonces, self.fleet.proxies)
 
+    def repeated_retransmission_costs(self, nonces: Iterable[int]) -> dict[int, int]:
+        """Return the same for commands that set up the tables of proxies which these replies bind."""
+        return self.repeated_costs.total(nonces, self.fleet.proxies)
+
     def uncertain_retransmission_costs(self, nonces: Iterable[int]) -> dict[int, int]:
         """Return the same for messages that these replies sent to unbound proxies, which get some of them."""
         return self.uncertain_costs.total(nonces, self.fleet.proxies)
@@ -252,6 +258,7 @@
         self.queue.plan(cost - uncertain, uncertain)
         self.commands += commands
         for group in groups:
+            group.command_lines += lines
             group.pending_lines += lines if group.proxies else 0
         return True
 
@@ -275,6 +282,7 @@
         """Bind a proxy to a table with a message of ``lines`` lines."""
         self.commands.append(BindProxy(table.number, ALL_ROUTES, proxy.number))
         self.written.append((proxy, lines + proxy.group.pending_lines))
+        self.bound.append((proxy.number, table))
         table.proxies[proxy.number] = proxy.group.proxies.pop(proxy.number)
         proxy.group = table
         self.statistics.count_written(self.quotas.bind.kind, lines)
@@ -288,6 +296,7 @@
         """
         self.written += self.take_messages(self.fleet.tables)
         uncertain = self.take_messages(self.fleet.unbound_groups())
+        repeated = self.take_repeated_lines()
         nonce = self.next_nonce()
         if not self.written and not uncertain:
             return
@@ -300,9 +309,22 @@
             proxy.message_tokens -= 1
         self.queue.write(nonce, sum(lines for _, lines in self.written), sum(lines for _, lines in uncertain))
         self.reply_costs.add(nonce, ((proxy.number, lines) for proxy, lines in self.written))
+        self.repeated_costs.add(nonce, repeated)
         self.uncertain_costs.add(nonce, ((proxy.number, lines) for proxy, lines in uncertain))
         self.written = []
 
+    def take_repeated_lines(self) -> list[tuple[int, int]]:
+        """Return the lines that sending this step's reply again takes besides those of its messages.
+
+        The proxies that it binds are in their tables when it is executed again. Each is then also sent the
+        commands that set its table up before it was bound.
+        """
+        repeated = [(number, table.command_lines) for number, table in self.bound]
+        self.bound = []
+        for group in (*self.fleet.tables, *self.fleet.unbound_groups()):
+            group.command_lines = 0
+        return repeated
+
     def take_messages(self, groups: Iterable[ProxyGroup]) -> list[tuple[ProxyState, int]]:
         """Return the messages of this step to the proxies of groups, with the lines of each."""
         messages = []
--- a/rainpick/decisions/retransmission.py
+++ b/rainpick/decisions/retransmission.py
@@ -77,6 +77,8 @@
         if self.request is None:
             return
         costs = self.publisher.retransmission_costs(self.request.replies)
+        for number, lines in self.publisher.repeated_retransmission_costs(self.request.replies).items():
+            costs[number] = costs.get(number, 0) + lines
         uncertain_costs = self.publisher.uncertain_retransmission_costs(self.request.replies)
         if not self.is_allowed(costs, uncertain_costs):
             return
--- a/tests/decisions/test_retransmission.py
+++ b/tests/decisions/test_retransmission.py
@@ -263,6 +263,15 @@
     assert sum(publisher.retransmission_costs(replies).values()) == fleet.unacknowledged_lines()
 
 
+def test_a_call_that_sets_up_tables_and_binds_proxies_takes_more_lines_when_it_is_executed_again():
+    """Guards against a queue that overflows: the proxies are in their tables by the second execution."""
+    fleet = Fleet(60, 0, [Spell(0, 1_500_000, executed=True, empty_calls_answered=True)])
+    fleet.run(1_400_000)
+    assert fleet.transmissions >= 1
+    waiting = fleet.stepper.director.channel().waiting
+    assert waiting >= fleet.channel.waiting(fleet.now) > 0
+
+
 @pytest.mark.parametrize("cap", [1, 2, 3])
 def test_a_small_cap_on_messages_holds_and_lets_each_drain_through(cap):
     """Guards against a cap of two that never refills, so that no proxy got a second message."""
