--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -208,7 +208,7 @@
     shutil.copytree(Path(decisions.__file__).parent, folder, ignore=shutil.ignore_patterns("__pycache__"))
     assert run("replay", str(RECORD), "--module", str(folder)).exit_code == 0
     with open(folder / "send_queue.py", "a") as file:
-        file.write("\n\nSendQueue.fits = lambda queue, lines, quota: False\n")
+        file.write("\n\nSendQueue.exceeded_limit = lambda queue, lines, quota: Limit.QUEUE\n")
     assert run("replay", str(RECORD), "--module", str(folder)).exit_code == 1
     (folder / "director.py").unlink()
     result = run("replay", str(RECORD), "--module", str(folder))
